Steering: Read life and silence of targets from the right packets, and test the new core

Cause: (1) a golden session showed that an acknowledgement which comes with the next request was taken for a sign of life and for an answer, though it may be seconds old. A trace of real flows shows that callers acknowledge an answer without data within 40 ms. (2) Callers of dead targets wait for their deadlines. Change: only acknowledgements without data count; a caller whose idempotent request was sent a third time to a target that nobody had a sign of since is reset, as is one of a target whose entry went (after the third copy, or the second if it drained before). Ruled out: a reset after the second copy for entries that vanished, since a live target with slow answers looks the same until then.

--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -9,6 +9,7 @@
 // A moving average over about eight answers follows a target that turns slow within a second.
 constexpr double answer_weight = 0.125;
 constexpr int max_shun_doublings = 2;
+constexpr int repeats_of_silence = 2;
 
 // Serial number arithmetic (RFC 1982): sequence numbers wrap around.
 bool is_after(std::uint32_t left, std::uint32_t right) {
@@ -70,76 +71,119 @@
                                     clock::time_point now) {
     observation result;
     const bool is_end = content.is_reset || content.is_closing;
-    auto found = flows_.find(content.flow);
-    if (found == flows_.end()) {
-        if (is_end || flows_.size() >= limits_.max_flows) {
-            return result;
-        }
-        // The flow was opened through another instance.
-        found = flows_.emplace(content.flow, flow_state{}).first;
-        found->second.token = content.token;
-        found->second.is_established = true;
-        found->second.next_sequence = content.sequence;
-        found->second.acknowledged = content.acknowledged;
-        ++signs_[content.token].flows;
-    }
-    auto& flow = found->second;
-    if (flow.token != content.token) {
-        release(flow);
-        flow.token = content.token;
-        flow.has_open_request = false;
-        flow.is_request_sent = false;
-        ++signs_[flow.token].flows;
+    auto* known = find_or_adopt(content, is_end);
+    if (known == nullptr) {
+        return result;
     }
+    auto& flow = *known;
     flow.seen_at = now;
-    auto& signs = signs_[flow.token];
     if (!flow.is_established) {
         flow.is_established = true;
         flow.acknowledged = content.acknowledged;
         flow.next_sequence = content.sequence;
         result.is_answer_to_opening = true;
         result.opening_took = now - flow.opened_at;
-        note_life(signs, now);
+        note_life(signs_[flow.token], now);
+    }
+    if (content.length > 0) {
+        note_data(flow, content, result, now);
+    } else if (!is_end) {
+        note_acknowledgement(flow, objective, slots, result, now);
     }
     if (is_after(content.acknowledged, flow.acknowledged)) {
         flow.acknowledged = content.acknowledged;
-        note_life(signs, now);
-        if (flow.is_request_sent) {
-            const int open = signs.open_requests;
-            flow.has_open_request = false;
-            flow.is_request_sent = false;
-            --signs.open_requests;
-            result.is_answer = true;
-            result.answer_took = now - flow.request_at;
-            const auto took = static_cast<double>(result.answer_took.count());
-            if (objective > clock::duration{0}) {
-                signs.limit.on_answer(result.answer_took, objective, open, slots);
-            }
-            signs.answer_ms +=
-                signs.answer_ms == 0 ? took : (took - signs.answer_ms) * answer_weight;
-        }
-    }
-    if (content.length > 0) {
-        const auto end = content.sequence + content.length;
-        if (is_after(end, flow.next_sequence)) {
-            flow.next_sequence = end;
-            if (!flow.is_request_sent) {
-                flow.is_request_sent = true;
-                flow.request_at = now;
-                signs.open_requests += flow.has_open_request ? 0 : 1;
-                flow.has_open_request = true;
-            }
-        } else {
-            result.is_retransmission = true;
-        }
     }
     if (is_end) {
         release(flow);
-        flows_.erase(found);
+        flows_.erase(content.flow);
     }
     return result;
 }
 
+// The record of the packet's flow; nothing when there is none and none is worth making.
+flow_state* flow_watch::find_or_adopt(const segment& content, bool is_end) {
+    auto found = flows_.find(content.flow);
+    if (found != flows_.end() && found->second.token == content.token) {
+        return &found->second;
+    }
+    if (found == flows_.end()) {
+        if (is_end || flows_.size() >= limits_.max_flows) {
+            return nullptr;
+        }
+        // The flow was opened through another instance.
+        found = flows_.emplace(content.flow, flow_state{}).first;
+        found->second.acknowledged = content.acknowledged;
+        found->second.next_sequence = content.sequence;
+    } else {
+        release(found->second);
+        found->second.has_open_request = false;
+        found->second.is_request_sent = false;
+    }
+    auto& flow = found->second;
+    flow.token = content.token;
+    flow.is_established = true;
+    ++signs_[flow.token].flows;
+    return &flow;
+}
+
+void flow_watch::note_data(flow_state& flow, const segment& content, observation& result,
+                           clock::time_point now) {
+    const auto end = content.sequence + content.length;
+    if (!is_after(end, flow.next_sequence)) {
+        note_repeat(flow, result, now);
+        return;
+    }
+    flow.next_sequence = end;
+    flow.repeats = 0;
+    // What acknowledges more than before is the next request, though the answer to the one before
+    // was acknowledged through another instance. Other data belongs to the request that is open.
+    const bool is_next = is_after(content.acknowledged, flow.acknowledged);
+    if (flow.is_request_sent && !is_next) {
+        return;
+    }
+    auto& signs = signs_[flow.token];
+    signs.open_requests += flow.has_open_request ? 0 : 1;
+    flow.has_open_request = true;
+    flow.is_request_sent = true;
+    flow.request_at = now;
+}
+
+void flow_watch::note_repeat(flow_state& flow, observation& result, clock::time_point now) {
+    auto& signs = signs_[flow.token];
+    ++flow.repeats;
+    result.repeats = flow.repeats;
+    const bool has_shown_life = signs.answered_at > flow.request_at;
+    if (flow.repeats < repeats_of_silence || has_shown_life) {
+        return;
+    }
+    signs.silent_flows += flow.repeats == repeats_of_silence ? 1 : 0;
+    result.is_target_silent = signs.silent_flows >= limits_.least_silent_flows;
+    if (result.is_target_silent) {
+        signs.shunned_until = std::max(signs.shunned_until, now + limits_.shun_for);
+    }
+}
+
+// Callers acknowledge without data only when something of the target has just arrived. An
+// acknowledgement that comes with data is no such sign: the answer may have come long before.
+void flow_watch::note_acknowledgement(flow_state& flow, clock::duration objective, int slots,
+                                      observation& result, clock::time_point now) {
+    auto& signs = signs_[flow.token];
+    note_life(signs, now);
+    if (!flow.is_request_sent) {
+        return;
+    }
+    result.is_answer = true;
+    result.answer_took = now - flow.request_at;
+    if (objective > clock::duration{0}) {
+        signs.limit.on_answer(result.answer_took, objective, signs.open_requests, slots);
+    }
+    const auto took = static_cast<double>(result.answer_took.count());
+    signs.answer_ms += signs.answer_ms == 0 ? took : (took - signs.answer_ms) * answer_weight;
+    flow.has_open_request = false;
+    flow.is_request_sent = false;
+    --signs.open_requests;
+}
+
 void flow_watch::expire(clock::time_point now) {
     if (now < next_expiry_) {
         return;
@@ -182,6 +226,7 @@
 
 void flow_watch::note_life(target_signs& signs, clock::time_point now) {
     signs.unanswered = 0;
+    signs.silent_flows = 0;
     signs.shunned_until = {};
     signs.answered_at = now;
     answered_at_ = now;
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -2,8 +2,8 @@
 // open, and how long answers take. Only headers are read, and only this instance's share of them.
 //
 // A copy of an opening packet says that the target chosen before didn't answer. The first other
-// packet of the flow says that it did. Data of the caller begins a request; an acknowledgement that
-// advances is an answer on its way.
+// packet of the flow says that it did. Data of the caller begins a request; an acknowledgement
+// without data says that something of the target has just arrived.
 #pragma once
 
 #include <cstdint>
@@ -25,6 +25,10 @@
     concurrency_limit limit;
     double answer_ms = 0;  // moving average from a request's first byte to its answer's
     int unanswered = 0;    // openings in a row without an answer
+    // Flows whose data was sent a third time, since the last sign of life. A target that lives
+    // acknowledges the second copy, however slow its answer is, so a third one means that nothing
+    // reaches it; one flow alone may have lost both copies on the way.
+    int silent_flows = 0;
     clock::time_point shunned_until;
     clock::time_point answered_at;  // last sign of life
     clock::time_point opened_at;    // last opening that was placed on it
@@ -42,6 +46,7 @@
     bool has_open_request = false;  // counted in target_signs::open_requests
     bool is_request_sent = false;   // its first byte went by; request_at holds then
     int copies = 0;                 // of the opening packet, seen here
+    int repeats = 0;                // of the newest data
 };
 
 // What a packet of an established flow was.
@@ -50,7 +55,8 @@
     clock::duration opening_took{0};
     bool is_answer = false;  // the target answered a request
     clock::duration answer_took{0};
-    bool is_retransmission = false;  // the caller sends data again that was forwarded before
+    int repeats = 0;                // how often the caller has sent this data before
+    bool is_target_silent = false;  // see target_signs::silent_flows
 };
 
 struct flow_watch_limits {
@@ -58,6 +64,7 @@
     // 0.008 of the worth of a day with silent targets and lost nothing elsewhere.
     clock::duration shun_for{1'500};
     clock::duration longest_shun{6'000};
+    int least_silent_flows = 2;
     // An opening without an answer is forgotten then: callers give it up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
@@ -91,6 +98,12 @@
     int openings_without_answer() const { return openings_without_answer_; }
 
 private:
+    flow_state* find_or_adopt(const segment& content, bool is_end);
+    void note_data(flow_state& flow, const segment& content, observation& result,
+                   clock::time_point now);
+    void note_repeat(flow_state& flow, observation& result, clock::time_point now);
+    void note_acknowledgement(flow_state& flow, clock::duration objective, int slots,
+                              observation& result, clock::time_point now);
     void release(const flow_state& flow);
     void note_life(target_signs& signs, clock::time_point now);
 
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -130,18 +130,37 @@
     if (seen.is_answer) {
         observer_.on_answer(*target, seen.answer_took);
     }
-    // Failure: the target has ended, and its callers wait for their deadlines. The entry alone may
-    // be wrong (it lapses while the store is away); data that went unanswered once besides, with no
-    // sign of life since the entry went, tells enough to let the caller go elsewhere.
-    const bool is_silent = flows_.signs(target->token).answered_at < target->changed_at;
-    const bool is_gone = !target->is_listed() && !target->presumed_alive_until.has_value();
-    if (is_gone && seen.is_retransmission && is_silent && !content.is_reset) {
-        return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged},
-                             result_code::target_gone});
+    if (const auto reason = hopeless(*target, route, seen)) {
+        return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged}, *reason});
     }
     return forward{target};
 }
 
+// Failure: a target has died, has left, or can't be reached, and its callers wait for their
+// deadlines on flows that lead nowhere. A reset lets them go elsewhere, but would break the flow of
+// a target that lives, so it needs evidence beyond doubt.
+std::optional<result_code> steering::hopeless(const discovery::target& target,
+                                              const discovery::route* route,
+                                              const observation& seen) const {
+    if (seen.repeats == 0) {
+        return std::nullopt;
+    }
+    // The entry alone may be wrong: it lapses while the store is away, and can be taken away. A
+    // live target acknowledges the second copy of data; one that drained before its entry went has
+    // ended, and its caller needn't wait for the third.
+    const bool shows_no_life = flows_.signs(target.token).answered_at < target.changed_at;
+    const bool is_gone = !target.is_listed() && !target.presumed_alive_until.has_value();
+    const int enough = target.gone == discovery::absence::left ? 1 : 2;
+    if (is_gone && shows_no_life && seen.repeats >= enough) {
+        return result_code::target_gone;
+    }
+    // The entry of a target that has just died is still there for some seconds. Callers repeat only
+    // what may run twice, so the others gain nothing by a reset.
+    const bool may_repeat = route != nullptr && route->is_idempotent;
+    return seen.is_target_silent && may_repeat ? std::optional{result_code::target_silent}
+                                               : std::nullopt;
+}
+
 const discovery::pool* steering::pool_of(const discovery::route& route,
                                          std::uint64_t flow_hash) const {
     std::uint64_t total = 0;
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -6,6 +6,7 @@
 // record of the flow, a hop, or an agreement with peers; nothing is lost when an instance ends.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -91,6 +92,9 @@
 private:
     decision on_opening(const segment& content, const belief& state, clock::time_point now);
     decision on_later_packet(const segment& content, const belief& state, clock::time_point now);
+    std::optional<result_code> hopeless(const discovery::target& target,
+                                        const discovery::route* route,
+                                        const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
     std::vector<candidate> candidates_of(const discovery::pool& pool, clock::time_point now);
     void log_opening(const segment& content, const belief& state, const discovery::route* route,
--- /dev/null
+++ b/tests/fleet_sources_test.cpp
@@ -0,0 +1,230 @@
+// Fleet: one instance watches the store, the others hear from it, and no failure of the watcher, of
+// the store or of a link leaves anybody behind for longer than the bound for a change.
+#include <gtest/gtest.h>
+
+#include "fleet/sources.h"
+#include "support/fake_store.h"
+
+namespace bramleytrack {
+namespace {
+
+using fleet::digest_limits;
+using fleet::peer_digests;
+using fleet::sources;
+
+constexpr clock::time_point start = to_time_point(1'000'000);
+
+class fleet_sources : public ::testing::Test {
+protected:
+    discovery::directory known_;
+    testing::fake_store store_;
+    store::mirror mirror_;
+    store::feed feed_{store_, mirror_, 1};
+    peer_digests digests_{known_, "self", 1};
+    sources sources_{known_, digests_, "self"};
+    std::int64_t revision_ = 0;
+
+    void SetUp() override {
+        add_peer("self");
+        feed_.tick(start);
+        store_.ranges.back().done(store::page{.items = {}, .has_more = false, .revision = 5},
+                                  start);
+    }
+
+    void add_peer(const std::string& name) {
+        known_.apply(
+            discovery::peer_entry{
+                .name = name, .zone = "north", .address = name + ":1", .pull_address = name + ":2"},
+            ++revision_, false, start);
+    }
+
+    static wire::digest digest(std::int64_t revision, std::int64_t confirmed_ms_ago) {
+        wire::digest result;
+        result.store_revision = revision;
+        result.confirmed_ms_ago = confirmed_ms_ago;
+        return result;
+    }
+
+    // A peer that ranks above this instance, and so is the one to watch.
+    std::string watcher() {
+        for (int i = 0;; ++i) {
+            const auto name = "peer-" + std::to_string(i);
+            if (hash_of(name) > hash_of(std::string_view{"self"})) {
+                return name;
+            }
+        }
+    }
+};
+
+TEST_F(fleet_sources, watches_while_no_peer_is_heard) {
+    EXPECT_TRUE(sources_.should_watch(feed_, start));
+}
+
+TEST_F(fleet_sources, leaves_the_watch_to_the_highest_rank_that_it_hears) {
+    const auto other = watcher();
+    add_peer(other);
+    digests_.on_digest(other, digest(5, 100), start);
+    EXPECT_FALSE(sources_.should_watch(feed_, start));
+    EXPECT_EQ(sources_.confirmed_at(feed_, 5), start);
+}
+
+TEST_F(fleet_sources, takes_over_when_the_watcher_falls_silent) {
+    // The watcher is killed right before a change. A change must be in force after 3 s.
+    const auto other = watcher();
+    add_peer(other);
+    digests_.on_digest(other, digest(5, 0), start);
+    EXPECT_FALSE(sources_.should_watch(feed_, start + clock::duration{1'200}));
+    EXPECT_TRUE(sources_.should_watch(feed_, start + clock::duration{1'300}));
+}
+
+TEST_F(fleet_sources, takes_over_when_the_watchers_word_grows_old) {
+    // The watcher is cut off from the store, silently, and goes on sending digests.
+    const auto other = watcher();
+    add_peer(other);
+    digests_.on_digest(other, digest(5, 0), start);
+    clock::time_point now = start;
+    while (!sources_.should_watch(feed_, now)) {
+        now += clock::duration{300};
+        digests_.on_digest(other, digest(5, (now - start).count()), now);
+        ASSERT_LT(now - start, clock::duration{3'000});
+    }
+    EXPECT_GT(now - start, clock::duration{2'500});
+}
+
+TEST_F(fleet_sources, a_watcher_that_lost_the_store_is_passed_over) {
+    const auto other = watcher();
+    add_peer(other);
+    auto content = digest(5, 0);
+    content.has_lost_store = true;
+    digests_.on_digest(other, content, start);
+    EXPECT_TRUE(sources_.should_watch(feed_, start));
+    EXPECT_TRUE(sources_.is_store_suspect(feed_, clock::duration{2'000}, start));
+    EXPECT_FALSE(
+        sources_.is_store_suspect(feed_, clock::duration{2'000}, start + clock::duration{2'001}));
+}
+
+TEST_F(fleet_sources, an_instance_that_the_store_refuses_leaves_the_watch_to_any_peer) {
+    const std::string other = "peer";
+    add_peer(other);
+    digests_.on_digest(other, digest(5, 0), start);
+    feed_.tick(start);
+    store_.watches.back().done(result_code::store_unavailable, start);
+    EXPECT_FALSE(sources_.should_watch(feed_, start));
+}
+
+TEST_F(fleet_sources, fetches_from_a_peer_that_knows_more) {
+    const auto other = watcher();
+    add_peer(other);
+    digests_.on_digest(other, digest(9, 0), start);
+    const auto pull = sources_.wanted_pull(5, false, start);
+    ASSERT_TRUE(pull);
+    EXPECT_EQ(pull->address, other + ":2");
+    EXPECT_FALSE(sources_.wanted_pull(9, false, start));
+}
+
+TEST_F(fleet_sources, a_watcher_waits_for_its_own_watch_and_then_fetches) {
+    // Its watch is deaf: the answer was lost, and the connection stays open in silence.
+    add_peer("peer");
+    digests_.on_digest("peer", digest(9, 0), start);
+    EXPECT_FALSE(sources_.wanted_pull(5, true, start));
+    EXPECT_TRUE(sources_.wanted_pull(5, true, start + clock::duration{500}));
+}
+
+TEST_F(fleet_sources, reads_itself_when_peers_know_more_and_none_can_be_asked) {
+    // Right after the start an instance knew two of eight peers, heard digests of all, and left the
+    // watch to one whose address it hadn't learned. It stayed without a configuration all day.
+    const auto stranger = watcher();
+    clock::time_point now = start;
+    for (int i = 0; i < 5; ++i, now += clock::duration{300}) {
+        digests_.on_digest(stranger, digest(9, 0), now);
+        EXPECT_FALSE(sources_.wanted_pull(5, false, now));
+    }
+    EXPECT_TRUE(sources_.should_watch(feed_, now));
+}
+
+TEST_F(fleet_sources, word_about_a_later_state_does_not_confirm_an_earlier_one) {
+    add_peer("peer");
+    const auto later = start + clock::duration{900};
+    digests_.on_digest("peer", digest(9, 0), later);
+    EXPECT_EQ(sources_.confirmed_at(feed_, 5), start);
+    EXPECT_EQ(sources_.confirmed_at(feed_, 9), later);
+}
+
+TEST_F(fleet_sources, knows_that_it_is_cut_off_from_all) {
+    add_peer("peer");
+    digests_.on_digest("peer", digest(5, 0), start);
+    EXPECT_FALSE(sources_.is_isolated(feed_, start + clock::duration{1'900}));
+    EXPECT_TRUE(sources_.is_isolated(feed_, start + clock::duration{2'600}));
+}
+
+TEST_F(fleet_sources, an_instance_alone_is_not_cut_off) {
+    EXPECT_FALSE(sources_.is_isolated(feed_, start + clock::duration{60'000}));
+}
+
+TEST_F(fleet_sources, in_a_large_fleet_a_few_watch) {
+    // 610 instances; each hears 32 others within the freshness of a digest. If all watched, each
+    // change would cost 610 calls, and if none did, nobody would learn of it.
+    constexpr int number = 610;
+    constexpr int heard = 32;
+    std::minstd_rand random{1};
+    std::uniform_int_distribution<int> pick{0, number - 1};
+    int watchers = 0;
+    for (int self = 0; self < number; ++self) {
+        const auto name = "peer-" + std::to_string(self);
+        peer_digests digests{known_, name, 1};
+        const sources own{known_, digests, name};
+        for (int i = 0; i < heard; ++i) {
+            digests.on_digest("peer-" + std::to_string(pick(random)), digest(5, 0), start);
+        }
+        watchers += own.should_watch(feed_, start) ? 1 : 0;
+    }
+    EXPECT_GE(watchers, 4);
+    EXPECT_LE(watchers, 40);
+}
+
+TEST(peer_digests, loads_of_peers_add_up_and_stand_for_those_not_heard) {
+    discovery::directory known;
+    for (int i = 0; i < 5; ++i) {
+        const auto name = "p" + std::to_string(i);
+        known.apply(
+            discovery::peer_entry{.name = name, .zone = "", .address = "", .pull_address = ""}, i,
+            false, start);
+    }
+    peer_digests digests{known, "p0", 1};
+    wire::digest content;
+    wire::load_report report;
+    report.token = 11;
+    report.open_requests = 3;
+    content.loads.push_back(report);
+    digests.on_digest("p1", content, start);
+    digests.on_digest("p2", content, start);
+    // Two of four peers are heard.
+    EXPECT_DOUBLE_EQ(digests.open_elsewhere(11, start), 12);
+    EXPECT_DOUBLE_EQ(digests.open_elsewhere(11, start + clock::duration{1'300}), 0);
+}
+
+TEST(peer_digests, all_peers_are_told_in_turn) {
+    discovery::directory known;
+    constexpr int number = 20;
+    for (int i = 0; i < number; ++i) {
+        known.apply(discovery::peer_entry{.name = "p" + std::to_string(i),
+                                          .zone = "",
+                                          .address = "a" + std::to_string(i),
+                                          .pull_address = ""},
+                    i, false, start);
+    }
+    peer_digests digests{known, "p0", 1};
+    std::map<std::string, int> told;
+    for (int round = 0; round < 3; ++round) {
+        const auto receivers = digests.next_receivers();
+        EXPECT_LE(receivers.size(), 8U);
+        for (const auto* each : receivers) {
+            ++told[each->name];
+        }
+    }
+    EXPECT_EQ(told.size(), number - 1U);
+    EXPECT_FALSE(told.contains("p0"));
+}
+
+}  // namespace
+}  // namespace bramleytrack
--- a/tests/golden_sessions_test.cpp
+++ b/tests/golden_sessions_test.cpp
@@ -10,6 +10,7 @@
 
 #include "base/read_file.h"
 #include "support/session.h"
+#include "support/steering_session.h"
 
 namespace bramleytrack {
 namespace {
@@ -19,8 +20,9 @@
 const fs::path golden_directory = fs::path{BRAMLEYTRACK_SOURCE_DIRECTORY} / "tests" / "golden";
 
 // Runs the script lines of `recorded` and returns the whole session as it is now. Comments stay.
+template <typename session_type>
 std::string replay(const std::string& recorded) {
-    testing::session session;
+    session_type session;
     std::istringstream lines{recorded};
     std::string result;
     for (std::string line; std::getline(lines, line);) {
@@ -39,22 +41,33 @@
     return result;
 }
 
-class golden_sessions : public ::testing::TestWithParam<std::string> {};
-
-TEST_P(golden_sessions, replays_exactly) {
-    const auto path = (golden_directory / GetParam()).string() + ".session";
-    const auto recorded = read_file(path);
+template <typename session_type>
+void check(const fs::path& path) {
+    const auto recorded = read_file(path.string());
     ASSERT_TRUE(recorded) << path;
-    const auto replayed = replay(*recorded);
+    const auto replayed = replay<session_type>(*recorded);
     if (std::getenv("BRAMLEYTRACK_REWRITE_GOLDEN") != nullptr) {  // NOLINT(concurrency-mt-unsafe)
         std::ofstream{path, std::ios::binary} << replayed;
     }
     EXPECT_EQ(*recorded, replayed);
 }
 
-std::vector<std::string> golden_names() {
+class golden_sessions : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(golden_sessions, replays_exactly) {
+    check<testing::session>(golden_directory / (GetParam() + ".session"));
+}
+
+// Of an instance that routes by token.
+class golden_steering_sessions : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(golden_steering_sessions, replays_exactly) {
+    check<testing::steering_session>(golden_directory / "steering" / (GetParam() + ".session"));
+}
+
+std::vector<std::string> golden_names(const fs::path& directory) {
     std::vector<std::string> names;
-    for (const auto& entry : fs::directory_iterator{golden_directory}) {
+    for (const auto& entry : fs::directory_iterator{directory}) {
         if (entry.path().extension() == ".session") {
             names.push_back(entry.path().stem().string());
         }
@@ -63,7 +76,10 @@
     return names;
 }
 
-INSTANTIATE_TEST_SUITE_P(all, golden_sessions, ::testing::ValuesIn(golden_names()),
+INSTANTIATE_TEST_SUITE_P(all, golden_sessions, ::testing::ValuesIn(golden_names(golden_directory)),
+                         [](const auto& information) { return information.param; });
+INSTANTIATE_TEST_SUITE_P(all, golden_steering_sessions,
+                         ::testing::ValuesIn(golden_names(golden_directory / "steering")),
                          [](const auto& information) { return information.param; });
 
 }  // namespace
--- /dev/null
+++ b/tests/steering_load_test.cpp
@@ -0,0 +1,293 @@
+// Steering: what the packets tell of targets, and where flows go when targets are full, slow or
+// silent.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+
+#include "steering/concurrency_limit.h"
+#include "steering/flow_watch.h"
+#include "steering/placement.h"
+
+namespace bramleytrack {
+namespace {
+
+using discovery::target;
+using steering::candidate;
+using steering::choose;
+using steering::concurrency_limit;
+using steering::flow_watch;
+using steering::no_choice;
+using steering::segment;
+
+constexpr clock::time_point start = to_time_point(1'000'000);
+constexpr clock::duration objective{120};
+constexpr int slots = 2;
+
+segment opening(std::uint16_t port, std::uint32_t copy = 0) {
+    segment result;
+    result.flow.caller = {.address = 7, .port = port};
+    result.sequence = 100;
+    result.copy = copy;
+    result.is_opening = true;
+    return result;
+}
+
+segment later(std::uint16_t port, std::uint32_t token, std::uint32_t sequence,
+              std::uint32_t acknowledged, std::uint16_t length) {
+    segment result = opening(port);
+    result.is_opening = false;
+    result.token = token;
+    result.sequence = sequence;
+    result.acknowledged = acknowledged;
+    result.length = length;
+    return result;
+}
+
+TEST(flow_watch, a_copy_of_an_opening_shuns_its_target_until_it_shows_life) {
+    // A target dies. The first caller waits 200 ms for nothing; others shouldn't have to.
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    flows.note_unanswered(opening(1).flow, start + clock::duration{200});
+    EXPECT_GT(flows.signs(11).shunned_until, start + clock::duration{1'600});
+    // A packet of another caller shows that it answers after all.
+    flows.note_opening(opening(2), 11, start + clock::duration{300});
+    flows.note_packet(later(2, 11, 100, 500, 0), objective, slots, start + clock::duration{310});
+    EXPECT_EQ(flows.signs(11).shunned_until, clock::time_point{});
+}
+
+TEST(flow_watch, one_lost_packet_does_not_shun_a_target_that_answers_others) {
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    flows.note_opening(opening(2), 11, start + clock::duration{50});
+    flows.note_packet(later(2, 11, 100, 500, 0), objective, slots, start + clock::duration{60});
+    flows.note_unanswered(opening(1).flow, start + clock::duration{200});
+    EXPECT_EQ(flows.signs(11).shunned_until, clock::time_point{});
+}
+
+TEST(flow_watch, measures_a_request_from_its_first_byte_to_the_answers_first) {
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    EXPECT_EQ(flows.signs(11).open_requests, 1);
+    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start + clock::duration{2});
+    EXPECT_EQ(flows.signs(11).open_requests, 1);
+    const auto seen =
+        flows.note_packet(later(1, 11, 140, 900, 0), objective, slots, start + clock::duration{30});
+    EXPECT_TRUE(seen.is_answer);
+    EXPECT_EQ(seen.answer_took, clock::duration{28});
+    EXPECT_EQ(flows.signs(11).open_requests, 0);
+}
+
+TEST(flow_watch, knows_data_that_is_sent_again) {
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    const auto data = later(1, 11, 100, 500, 40);
+    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 0);
+    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 1);
+    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 2);
+}
+
+TEST(flow_watch, a_target_is_silent_when_two_flows_send_their_data_a_third_time) {
+    // A target dies; its entry stays for some seconds. Callers send again after 200 and 600 ms.
+    flow_watch flows;
+    constexpr clock::duration second{200};
+    constexpr clock::duration third{600};
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+        flows.note_opening(opening(port), 11, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start + second);
+    }
+    const auto first =
+        flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start + third);
+    EXPECT_FALSE(first.is_target_silent);
+    const auto other =
+        flows.note_packet(later(2, 11, 100, 500, 40), objective, slots, start + third);
+    EXPECT_TRUE(other.is_target_silent);
+    EXPECT_GT(flows.signs(11).shunned_until, start + third);
+}
+
+TEST(flow_watch, a_slow_target_that_answers_anybody_is_not_silent) {
+    // A target takes a second for each answer; callers send their data three times meanwhile. It
+    // has acknowledged some other caller since, so it lives.
+    flow_watch flows;
+    constexpr clock::duration third{600};
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        flows.note_opening(opening(port), 11, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start);
+    }
+    flows.note_packet(later(3, 11, 140, 900, 0), objective, slots, start + clock::duration{100});
+    for (int copy = 0; copy < 3; ++copy) {
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            EXPECT_FALSE(
+                flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start + third)
+                    .is_target_silent);
+        }
+    }
+}
+
+TEST(flow_watch, an_acknowledgement_that_comes_with_the_next_request_is_no_sign_of_life) {
+    // The answer came seconds before; the target may have died since.
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start);
+    const auto much_later = start + clock::duration{3'000};
+    const auto seen = flows.note_packet(later(1, 11, 140, 900, 40), objective, slots, much_later);
+    EXPECT_FALSE(seen.is_answer);
+    EXPECT_EQ(flows.signs(11).answered_at, start);
+    EXPECT_EQ(flows.signs(11).open_requests, 1);
+}
+
+TEST(flow_watch, a_flow_that_went_on_elsewhere_does_not_count_for_long) {
+    // An instance joins, the fabric reshuffles, and a flow's packets go through another instance
+    // while a request is open. Counted on, it would keep the target full here for good.
+    flow_watch flows;
+    flows.note_opening(opening(1), 11, start);
+    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start);
+    flows.expire(start + clock::duration{2'100});
+    EXPECT_EQ(flows.signs(11).open_requests, 0);
+}
+
+TEST(flow_watch, a_flood_of_openings_does_not_grow_it_without_bound) {
+    steering::flow_watch_limits limits;
+    limits.max_flows = 100;
+    flow_watch flows{limits};
+    for (std::uint16_t port = 1; port < 1'000; ++port) {
+        flows.note_opening(opening(port), 11, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start);
+    }
+    EXPECT_EQ(flows.size(), 100U);
+}
+
+TEST(concurrency_limit, settles_where_one_answer_in_ten_is_late) {
+    // A target works on two requests at a time, 22 ms each; whatever is open beyond waits. Callers
+    // press without end.
+    concurrency_limit limit;
+    std::minstd_rand random{1};
+    std::lognormal_distribution<double> work{std::log(22.0 * 0.88), 0.5};
+    std::deque<double> ends;  // of the requests that are open, in milliseconds
+    std::vector<double> slot_free(slots, 0.0);
+    double now = 0;
+    int late = 0;
+    int answered = 0;
+    for (int i = 0; i < 6'000; ++i) {
+        while (!limit.has_room(static_cast<double>(ends.size()), slots, 40, start,
+                               start + clock::duration{static_cast<std::int64_t>(now)})) {
+            now += 1;
+            std::erase_if(ends, [now](double each) { return each <= now; });
+        }
+        auto& slot = *std::ranges::min_element(slot_free);
+        const double end = std::max(slot, now) + work(random);
+        slot = end;
+        ends.push_back(end);
+        const auto took = clock::duration{static_cast<std::int64_t>(end - now)};
+        limit.on_answer(took, objective, static_cast<int>(ends.size()), slots);
+        constexpr int warm_up = 500;
+        late += i > warm_up && took > objective ? 1 : 0;
+        answered += i > warm_up ? 1 : 0;
+    }
+    EXPECT_LT(late, answered / 5);
+    EXPECT_GT(late, 0);
+}
+
+TEST(concurrency_limit, a_slow_target_still_gets_a_flow_each_half_second) {
+    concurrency_limit limit;
+    for (int i = 0; i < 100; ++i) {
+        limit.on_answer(clock::duration{900}, objective, 1, slots);
+    }
+    EXPECT_FALSE(limit.has_room(0, slots, 900, start, start + clock::duration{400}));
+    EXPECT_TRUE(limit.has_room(0, slots, 900, start, start + clock::duration{500}));
+    EXPECT_FALSE(limit.has_room(1, slots, 900, start, start + clock::duration{5'000}));
+}
+
+TEST(concurrency_limit, recovers_when_answers_are_in_time_again) {
+    concurrency_limit limit;
+    for (int i = 0; i < 100; ++i) {
+        limit.on_answer(clock::duration{900}, objective, 1, slots);
+    }
+    for (int i = 0; i < 100; ++i) {
+        limit.on_answer(clock::duration{30}, objective, 1, slots);
+    }
+    EXPECT_GE(limit.value(slots), 2.0);
+}
+
+class steering_placement : public ::testing::Test {
+protected:
+    std::deque<target> targets_;
+    std::vector<candidate> candidates_;
+
+    candidate& add(bool is_near) {
+        auto& created = targets_.emplace_back();
+        created.token = static_cast<std::uint32_t>(targets_.size());
+        candidates_.push_back({.subject = &created, .is_near = is_near});
+        return candidates_.back();
+    }
+    std::size_t chosen(std::uint64_t hash, std::uint32_t copy = 0) const {
+        return std::get<std::size_t>(choose(candidates_, hash, copy));
+    }
+};
+
+TEST_F(steering_placement, prefers_its_own_zone) {
+    add(false);
+    add(true);
+    for (std::uint64_t hash = 0; hash < 50; ++hash) {
+        EXPECT_EQ(chosen(hash), 1U);
+    }
+}
+
+TEST_F(steering_placement, spills_to_other_zones_only_when_its_own_has_no_room) {
+    // Callers of one zone come five times as often; the others' targets are idle.
+    add(true).has_room = false;
+    add(false);
+    EXPECT_EQ(chosen(1), 1U);
+}
+
+TEST_F(steering_placement, the_same_flow_is_placed_alike_by_all_and_a_copy_elsewhere) {
+    for (int i = 0; i < 6; ++i) {
+        add(true);
+    }
+    for (std::uint64_t hash = 0; hash < 50; ++hash) {
+        EXPECT_EQ(chosen(hash), chosen(hash));
+        EXPECT_NE(chosen(hash, 1), chosen(hash, 0));
+        EXPECT_NE(chosen(hash, 2), chosen(hash, 1));
+    }
+}
+
+TEST_F(steering_placement, spreads_flows_evenly) {
+    constexpr int number = 5;
+    constexpr int flows = 10'000;
+    for (int i = 0; i < number; ++i) {
+        add(true);
+    }
+    std::vector<int> counts(number);
+    for (std::uint64_t hash = 0; hash < flows; ++hash) {
+        ++counts[chosen(hash * 0x9E3779B97F4A7C15ULL)];
+    }
+    for (const int each : counts) {
+        EXPECT_NEAR(each, flows / number, flows / number / 8);
+    }
+}
+
+TEST_F(steering_placement, says_that_all_are_saturated) {
+    add(true).has_room = false;
+    add(false).has_room = false;
+    EXPECT_EQ(std::get<no_choice>(choose(candidates_, 1, 0)), no_choice::saturated);
+    EXPECT_EQ(std::get<no_choice>(choose({}, 1, 0)), no_choice::no_target);
+}
+
+TEST_F(steering_placement, tries_a_shunned_target_when_nothing_else_is_left) {
+    add(true).is_shunned = true;
+    EXPECT_EQ(chosen(1), 0U);
+}
+
+TEST_F(steering_placement, the_lighter_of_two_is_taken) {
+    add(true).load = 3;
+    add(true).load = 1;
+    for (std::uint64_t hash = 0; hash < 20; ++hash) {
+        EXPECT_EQ(chosen(hash), 1U);
+    }
+}
+
+}  // namespace
+}  // namespace bramleytrack
--- /dev/null
+++ b/tests/store_mirror_test.cpp
@@ -0,0 +1,102 @@
+// Store: what an instance holds of it never goes back, whatever the order of its sources.
+#include <gtest/gtest.h>
+
+#include "store/mirror.h"
+
+namespace bramleytrack {
+namespace {
+
+using store::event;
+using store::item;
+using store::mirror;
+using store::removal;
+
+item written(const char* key, std::int64_t revision) {
+    return {.key = key, .value = std::to_string(revision), .revision = revision};
+}
+
+TEST(store_mirror, an_older_word_changes_nothing) {
+    // A watch tells of revision 9; then a peer that was cut off answers with revision 7. Routing by
+    // the older value would send callers where operators no longer want them.
+    mirror known;
+    known.apply(std::vector<event>{written("a", 9)});
+    EXPECT_TRUE(known.apply(std::vector<event>{written("a", 7)}).empty());
+    ASSERT_EQ(known.items().size(), 1U);
+    EXPECT_EQ(known.items().front().revision, 9);
+}
+
+TEST(store_mirror, a_removed_key_does_not_come_back_with_an_older_item) {
+    // A target leaves; a peer that hasn't heard still lists it.
+    mirror known;
+    known.apply(std::vector<event>{written("a", 3), removal{.key = "a", .revision = 5}});
+    EXPECT_TRUE(known.apply(std::vector<event>{written("a", 4)}).empty());
+    EXPECT_TRUE(known.items().empty());
+    EXPECT_EQ(known.apply(std::vector<event>{written("a", 6)}).size(), 1U);
+}
+
+TEST(store_mirror, a_read_removes_what_it_does_not_hold) {
+    mirror known;
+    known.replace(std::vector{written("a", 1), written("b", 2)}, 2);
+    const auto changed = known.replace(std::vector{written("b", 2)}, 6);
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(std::get<removal>(changed.front()).key, "a");
+    EXPECT_EQ(known.revision(), 6);
+}
+
+TEST(store_mirror, a_read_does_not_remove_what_came_later) {
+    // The read began at revision 4 and took long; meanwhile a peer told of a target that registered
+    // at revision 5.
+    mirror known;
+    known.replace(std::vector{written("a", 1)}, 1);
+    known.apply(std::vector<event>{written("b", 5)});
+    EXPECT_TRUE(known.replace(std::vector{written("a", 1)}, 4).empty());
+    EXPECT_EQ(known.items().size(), 2U);
+}
+
+TEST(store_mirror, a_read_that_implied_a_removal_is_not_undone_by_the_same_item) {
+    // A page was read just before the target's last change of that revision; a repeat of the item
+    // with the revision of the removal must not list the target again.
+    mirror known;
+    known.replace(std::vector{written("a", 4)}, 4);
+    ASSERT_EQ(known.replace({}, 4).size(), 1U);
+    EXPECT_TRUE(known.apply(std::vector<event>{written("a", 4)}).empty());
+    EXPECT_TRUE(known.items().empty());
+}
+
+TEST(store_mirror, tells_a_peer_what_changed_or_that_it_cannot) {
+    mirror known;
+    known.replace(std::vector{written("a", 4)}, 4);
+    known.apply(std::vector<event>{written("b", 5), removal{.key = "a", .revision = 6}});
+    const auto changes = known.changes_since(5);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->size(), 1U);
+    EXPECT_EQ(store::revision_of(changes->front()), 6);
+    // What was there at the first read isn't in the history.
+    EXPECT_FALSE(known.changes_since(3));
+}
+
+TEST(store_mirror, forgets_history_and_says_so) {
+    mirror known;
+    known.replace({}, 1);
+    constexpr std::int64_t many = 1'000;
+    for (std::int64_t revision = 2; revision < many; ++revision) {
+        known.apply(std::vector<event>{written("a", revision)});
+    }
+    EXPECT_FALSE(known.changes_since(1));
+    ASSERT_TRUE(known.changes_since(many - 2));
+    EXPECT_EQ(known.changes_since(many - 2)->size(), 1U);
+}
+
+TEST(store_mirror, bounds_the_markers_of_removed_keys) {
+    mirror known;
+    constexpr std::int64_t many = 30'000;
+    for (std::int64_t revision = 1; revision < many; revision += 2) {
+        const auto key = "key-" + std::to_string(revision);
+        known.apply(std::vector<event>{item{.key = key, .value = {}, .revision = revision},
+                                       removal{.key = key, .revision = revision + 1}});
+    }
+    EXPECT_LE(known.size(), 10'001U);
+}
+
+}  // namespace
+}  // namespace bramleytrack
--- /dev/null
+++ b/tests/support/fake_store.h
@@ -0,0 +1,62 @@
+// A store for tests: calls are recorded and answered when the test says so.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "store/store.h"
+
+namespace bramleytrack::testing {
+
+class fake_store final : public store::client {
+public:
+    struct range_call {
+        std::string after_key;
+        store::callback<store::page> done;
+    };
+    struct watch_call {
+        std::int64_t revision = 0;
+        store::callback<store::news> done;
+    };
+    struct commit_call {
+        store::transaction wanted;
+        store::callback<store::committed> done;
+    };
+    struct lease_call {
+        std::int64_t number = 0;  // 0: a grant
+        store::callback<store::lease> done;
+    };
+
+    std::vector<range_call> ranges;
+    std::vector<watch_call> watches;
+    std::vector<commit_call> commits;
+    std::vector<lease_call> leases;
+    std::vector<std::int64_t> ended_leases;
+
+    void range(std::string_view /*prefix*/, std::string_view after_key, clock::duration /*limit*/,
+               store::callback<store::page> done) override {
+        ranges.push_back({.after_key = std::string{after_key}, .done = std::move(done)});
+    }
+    void watch(std::string_view /*prefix*/, std::int64_t revision, clock::duration /*wait*/,
+               clock::duration /*limit*/, store::callback<store::news> done) override {
+        watches.push_back({.revision = revision, .done = std::move(done)});
+    }
+    void commit(const store::transaction& wanted, clock::duration /*limit*/,
+                store::callback<store::committed> done) override {
+        commits.push_back({.wanted = wanted, .done = std::move(done)});
+    }
+    void grant_lease(clock::duration /*lifetime*/, clock::duration /*limit*/,
+                     store::callback<store::lease> done) override {
+        leases.push_back({.number = 0, .done = std::move(done)});
+    }
+    void renew_lease(std::int64_t number, clock::duration /*limit*/,
+                     store::callback<store::lease> done) override {
+        leases.push_back({.number = number, .done = std::move(done)});
+    }
+    void end_lease(std::int64_t number, clock::duration /*limit*/,
+                   store::callback<store::lease> /*done*/) override {
+        ended_leases.push_back(number);
+    }
+};
+
+}  // namespace bramleytrack::testing
--- /dev/null
+++ b/tests/support/steering_session.h
@@ -0,0 +1,81 @@
+// One instance that routes by token, driven by a script; see tests/golden/steering/*.session.
+//
+// Commands: route NAME PORT SERVICE=WEIGHT..., drop ROUTE, target ID SERVICE ZONE [cold=MS], drain
+// ID, gone ID, zone_out ZONE, zone_back ZONE, open FLOW ROUTE [copy=N], data FLOW bytes=N, again
+// FLOW, ack FLOW, close FLOW, stranger FLOW TOKEN, advance MS. Each packet prints what became of
+// it. A target answers each opening and all data, unless it is mute (mute ID); `ack` acknowledges
+// its answer.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "discovery/directory.h"
+#include "fleet/peer_digests.h"
+#include "steering/steering.h"
+
+namespace bramleytrack::testing {
+
+class steering_session final : private event_log, private steering::flow_observer {
+public:
+    steering_session();
+
+    void run(const std::string& line);
+    std::vector<std::string> take_transcript() { return std::exchange(transcript_, {}); }
+
+private:
+    struct caller_flow {
+        steering::segment last;  // the newest packet with data, or the opening
+        std::uint32_t next_sequence = 0;
+        std::uint32_t acknowledged = 0;
+        discovery::routing_token token = 0;  // what the target's last packet carried
+    };
+
+    using words = std::vector<std::string>;
+    using command = void (steering_session::*)(const words& arguments);
+
+    void add_route(const words& arguments);
+    void drop_route(const words& arguments);
+    void add_target(const words& arguments);
+    void drain_target(const words& arguments);
+    void remove_target(const words& arguments);
+    void mute_target(const words& arguments);
+    void take_zone_out(const words& arguments);
+    void take_zone_back(const words& arguments);
+    void open(const words& arguments);
+    void send_data(const words& arguments);
+    void send_again(const words& arguments);
+    void acknowledge(const words& arguments);
+    void close(const words& arguments);
+    void send_as_stranger(const words& arguments);
+    void advance(const words& arguments);
+
+    void publish_catalogue();
+    void apply(const discovery::record& subject);
+    void deliver(const std::string& flow, const steering::segment& content);
+    steering::segment packet_of(const std::string& flow) const;
+
+    bool admits(log_kind kind, clock::time_point now) override;
+    void write(const log_event& event) override;
+    void on_opening_answered(const discovery::target& by, clock::duration took) override;
+    void on_answer(const discovery::target& by, clock::duration took) override;
+    void on_decision(std::string_view service, const steering::decision& made) override;
+
+    static const std::map<std::string, command> commands;
+
+    clock::time_point now_;
+    discovery::directory known_;
+    fleet::peer_digests digests_;
+    steering::cold_gate cold_;
+    steering::steering subject_;
+    discovery::catalogue catalogue_;
+    std::map<std::string, discovery::target_entry> entries_;
+    std::map<std::string, caller_flow> flows_;
+    std::vector<std::string> mute_;
+    std::int64_t revision_ = 0;
+    std::vector<std::string> transcript_;
+};
+
+}  // namespace bramleytrack::testing
