--- a/libraries/discovery/registration.cpp
+++ b/libraries/discovery/registration.cpp
@@ -60,57 +60,57 @@
     set_held(false, result_code::ok, now);
 }
 
-void registration::grant(clock::time_point now) {
+void registration::grant(clock::time_point sent) {
     store_.grant_lease(
         limits_.lifetime, limits_.call_limit,
-        [this, now](const store::outcome<store::lease>& answer, clock::time_point answered) {
+        [this, sent](const store::outcome<store::lease>& answer, clock::time_point now) {
             if (step_ == step::ended) {
                 return;
             }
             if (const auto* granted = std::get_if<store::lease>(&answer)) {
                 lease_ = granted->number;
                 is_written_ = false;
-                valid_until_ = now + limits_.lifetime;
+                valid_until_ = sent + limits_.lifetime;
                 step_ = step::waiting;
-                write(answered);
+                write(now);
             } else {
-                fail(std::get<result_code>(answer), answered);
+                fail(std::get<result_code>(answer), now);
             }
         });
 }
 
-void registration::write(clock::time_point now) {
+void registration::write(clock::time_point sent) {
     const store::transaction wanted{.expectations = {},
                                     .writes = {{.key = key_, .value = value_, .lease = lease_}},
                                     .removals = {}};
     store_.commit(
         wanted, limits_.call_limit,
-        [this, now](const store::outcome<store::committed>& answer, clock::time_point answered) {
+        [this, sent](const store::outcome<store::committed>& answer, clock::time_point now) {
             if (step_ == step::ended) {
                 return;
             }
             if (std::holds_alternative<store::committed>(answer)) {
                 is_written_ = true;
-                succeed(now, answered);
-                set_held(true, result_code::ok, answered);
+                succeed(sent, now);
+                set_held(true, result_code::ok, now);
             } else {
-                fail(std::get<result_code>(answer), answered);
+                fail(std::get<result_code>(answer), now);
             }
         });
 }
 
-void registration::renew(clock::time_point now) {
+void registration::renew(clock::time_point sent) {
     store_.renew_lease(
         lease_, limits_.call_limit,
-        [this, now](const store::outcome<store::lease>& answer, clock::time_point answered) {
+        [this, sent](const store::outcome<store::lease>& answer, clock::time_point now) {
             if (step_ == step::ended) {
                 return;
             }
             if (std::holds_alternative<store::lease>(answer)) {
-                valid_until_ = now + limits_.lifetime;
-                succeed(now, answered);
+                valid_until_ = sent + limits_.lifetime;
+                succeed(sent, now);
             } else {
-                fail(std::get<result_code>(answer), answered);
+                fail(std::get<result_code>(answer), now);
             }
         });
 }
--- a/libraries/discovery/registration.h
+++ b/libraries/discovery/registration.h
@@ -42,9 +42,9 @@
 private:
     enum class step { idle, waiting, ended };
 
-    void grant(clock::time_point now);
-    void write(clock::time_point now);
-    void renew(clock::time_point now);
+    void grant(clock::time_point sent);
+    void write(clock::time_point sent);
+    void renew(clock::time_point sent);
     void succeed(clock::time_point sent, clock::time_point now);
     void fail(result_code reason, clock::time_point now);
     void set_held(bool is_held, result_code reason, clock::time_point now);
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -208,8 +208,8 @@
 void steering::log_opening(const segment& content, const belief& state,
                            const discovery::route* route, const decision& made,
                            std::size_t candidates, clock::time_point now) {
-    const std::string_view service =
-        route == nullptr || route->splits.empty() ? "none" : route->splits.front().service;
+    const bool has_service = route != nullptr && !route->splits.empty();
+    const std::string service = has_service ? route->splits.front().service : "none";
     observer_.on_decision(service, made);
     if (!log_.admits(log_kind::opening, now)) {
         return;
@@ -219,7 +219,7 @@
         .with("copy", content.copy)
         .with("decision", name_of_decision(made))
         .with("reason", name_of(reason_of(made)))
-        .with("route", route == nullptr ? "none" : route->name)
+        .with("route", route == nullptr ? std::string{"none"} : route->name)
         .with("version", known_.in_force().version)
         .with("confirmed_ms_ago", age_of(state.confirmed, now))
         .with("candidates", static_cast<std::int64_t>(candidates));
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -54,11 +54,11 @@
     ask_page({}, attempt, now);
 }
 
-void feed::ask_page(std::string after_key, std::int64_t attempt, clock::time_point now) {
+void feed::ask_page(const std::string& after_key, std::int64_t attempt, clock::time_point sent) {
     ++calls_;
     store_.range(everything, after_key, limits_.read_limit,
-                 [this, attempt, now](const outcome<page>& answer, clock::time_point answered) {
-                     on_page(attempt, now, answer, answered);
+                 [this, attempt, sent](const outcome<page>& answer, clock::time_point now) {
+                     on_page(attempt, sent, answer, now);
                  });
 }
 
@@ -95,15 +95,15 @@
     next_start_ = now;
 }
 
-void feed::start_watch(clock::time_point now) {
+void feed::start_watch(clock::time_point sent) {
     phase_ = phase::watching;
     const auto attempt = ++attempts_;
     watch_attempt_ = attempt;
     ++calls_;
     store_.watch(everything, known_.revision(), limits_.watch_wait,
                  limits_.watch_wait + limits_.watch_slack,
-                 [this, attempt, now](const outcome<news>& answer, clock::time_point answered) {
-                     on_news(attempt, now, answer, answered);
+                 [this, attempt, sent](const outcome<news>& answer, clock::time_point now) {
+                     on_news(attempt, sent, answer, now);
                  });
 }
 
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -71,10 +71,10 @@
     enum class phase { idle, reading, watching };
 
     void start_read(clock::time_point now);
-    void ask_page(std::string after_key, std::int64_t attempt, clock::time_point now);
+    void ask_page(const std::string& after_key, std::int64_t attempt, clock::time_point sent);
     void on_page(std::int64_t attempt, clock::time_point sent, const outcome<page>& answer,
                  clock::time_point now);
-    void start_watch(clock::time_point now);
+    void start_watch(clock::time_point sent);
     void on_news(std::int64_t attempt, clock::time_point sent, const outcome<news>& answer,
                  clock::time_point now);
     void succeed(clock::time_point sent, clock::time_point now);
--- a/meta/bramleytrack.sh
+++ b/meta/bramleytrack.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # bramleytrack's one script: sets everything up on a fresh Debian, then runs or tests the system.
+#   run                                    a fleet that routes by token, as on the users' platform, on
+#                                          loopback stand-ins, with changes and faults, and a verdict
 #   run [--shape association|collective] [--scenario NAME]
-#                                          a whole fleet on loopback stand-ins, with changes and faults
+#                                          the same for a fleet that routes by owners
 #   test                                   formatter, linter, build and tests, plain and sanitized
 #   build | format | lint | unit | sanitized | generate   the single steps
 set -euo pipefail
@@ -102,11 +104,17 @@
 
 # shellcheck source=meta/fleet.sh
 source "$root/meta/fleet.sh"
+# shellcheck source=meta/steering_fleet.sh
+source "$root/meta/steering_fleet.sh"
 
 command=${1:-}
 shift || true
 case $command in
-    run) install_packages; build_all; run_fleet "$@" ;;
+    run)
+        install_packages
+        build_all
+        if (($# == 0)); then run_steering_fleet; else run_fleet "$@"; fi
+        ;;
     test) run_all_tests ;;
     build) install_packages; build_all ;;
     format) own_sources | xargs clang-format -i ;;
@@ -115,6 +123,7 @@
     unit) run_unit ;;
     sanitized) run_sanitized ;;
     fleet) run_fleet "$@" ;;
+    steering-fleet) run_steering_fleet ;;
     generate) generate ;;
     *) sed -n '2,7s/^# \{0,1\}//p' "$0"; exit 2 ;;
 esac
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -124,6 +124,15 @@
     return 0;
 }
 
+// Ports that are free on 127.0.0.1 for UDP and TCP.
+void print_ports(int number) {
+    port_source ports;
+    for (int i = 0; i < number; ++i) {
+        const auto address = ports.take();
+        std::printf("%s\n", address.substr(address.rfind(':') + 1).c_str());
+    }
+}
+
 int put(const std::string& url, const std::string& body) {
     ev::default_loop loop;
     net::http_client client{loop};
@@ -165,10 +174,14 @@
     const auto arguments =
         settings::command_line{
             "[--count N] create TEXT DIRECTORY | register DIRECTORY INSTANCE live|leaving|gone | "
-            "fault DIRECTORY QUERY"}
+            "fault DIRECTORY QUERY | ports"}
             .option("count", instances, "number of balancer instances")
             .parse(argc, argv);
     const std::string command = arguments.empty() ? "" : arguments.front();
+    if (command == "ports") {
+        standins::print_ports(instances);
+        return 0;
+    }
     if (command == "create" && arguments.size() == 3) {
         return standins::create(arguments[1], arguments[2], instances);
     }
--- /dev/null
+++ b/standins/flow_caller/main.cpp
@@ -0,0 +1,156 @@
+// standin_flow_caller: drives callers of the users' platform for some seconds, prints what they
+// got, and judges the promises that the run exercised. Exit status 0: all held.
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "base/read_file.h"
+#include "flow_caller/flow_caller.h"
+#include "settings/command_line.h"
+
+namespace bramleytrack::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr clock::duration http_limit{1'000};
+// What callers may lose in a run with a crash of an instance and one of a target.
+constexpr double least_answered = 0.97;
+
+struct target_report {
+    std::map<std::string, int> runs;
+    int opened_while_draining = 0;
+};
+
+std::set<std::string> words_of(const std::string& text) {
+    std::istringstream stream{text};
+    std::set<std::string> result;
+    for (std::string each; std::getline(stream, each, ',');) {
+        result.insert(each);
+    }
+    return result;
+}
+
+target_report ask_target(ev::loop_ref loop, const std::string& address) {
+    net::http_client client{loop};
+    target_report result;
+    client.get("http://" + address + "/runs", http_limit, [&](const net::http_result& answer) {
+        const auto root = json::parse(answer.body, nullptr, false);
+        if (root.is_object()) {
+            result.runs = root["runs"].get<std::map<std::string, int>>();
+            result.opened_while_draining = root["opened_while_draining"];
+        }
+        loop.break_loop(ev::ONE);
+    });
+    loop.run();
+    return result;
+}
+
+bool judge(const char* promise, int broken) {
+    std::printf("%-66s %s (%d)\n", promise, broken == 0 ? "held" : "BROKEN", broken);
+    return broken == 0;
+}
+
+int count_but(const std::map<std::string, int>& by_target, const std::set<std::string>& ended) {
+    int sum = 0;
+    for (const auto& [target, count] : by_target) {
+        sum += ended.contains(target) ? 0 : count;
+    }
+    return sum;
+}
+
+bool judge_all(const caller_tally& seen, const std::vector<target_report>& reports,
+               const std::set<std::string>& ended) {
+    std::map<std::string, int> runs;
+    int opened_while_draining = 0;
+    for (const auto& each : reports) {
+        opened_while_draining += each.opened_while_draining;
+        for (const auto& [id, count] : each.runs) {
+            runs[id] += count;
+        }
+    }
+    const auto run_twice =
+        std::ranges::count_if(runs, [](const auto& each) { return each.second > 1; });
+    auto latencies = seen.latencies_ms;
+    std::ranges::sort(latencies);
+    const auto at = [&](double share) {
+        return latencies.empty() ? 0LL
+                                 : static_cast<long long>(latencies[static_cast<std::size_t>(
+                                       share * static_cast<double>(latencies.size() - 1))]);
+    };
+    std::printf(
+        "asked %d, answered %d, lost %d, flows opened %d, refused %d, not opened %d, "
+        "p50 %lld ms, p99 %lld ms\n",
+        seen.asked, seen.answered, seen.late_or_lost, seen.opened, seen.refused, seen.not_opened,
+        at(0.5), at(0.99));
+    const bool is_served = seen.asked > 0 && seen.answered >= least_answered * seen.asked;
+    bool has_held = judge("open flows of live targets that the balancer reset",
+                          count_but(seen.reset_by_balancer, ended));
+    has_held &=
+        judge("open flows that another target reset", count_but(seen.reset_by_target, ended));
+    has_held &= judge("answers to another request or of another service", seen.wrong_answers);
+    has_held &= judge("requests that ran twice", static_cast<int>(run_twice));
+    has_held &= judge("flows opened at a target 3 s after it drained", opened_while_draining);
+    has_held &= judge("requests answered below the share that must be", is_served ? 0 : 1);
+    return has_held;
+}
+
+void wake_up(ev::timer& timer, int /*events*/) {
+    ev_break(timer.loop, EVBREAK_ONE);
+}
+
+int run(const std::string& path, int seconds, int flows, const std::set<std::string>& ended) {
+    const auto fleet = json::parse(read_file(path).value_or("{}"));
+    flow_caller_options options;
+    options.address = fleet["caller_address"];
+    options.flows = flows;
+    std::vector<std::string> target_addresses;
+    for (const auto& each : fleet["routes"]) {
+        options.routes.push_back({.address = each["address"], .service = each["service"]});
+    }
+    for (const auto& each : fleet["targets"]) {
+        options.services[each["id"]] = each["service"];
+        if (!ended.contains(each["id"].get<std::string>())) {
+            target_addresses.push_back(each["address"]);
+        }
+    }
+    std::vector<router::instance> instances;
+    for (const auto& each : fleet["instances"]) {
+        instances.push_back({.packet_address = each["packet_address"],
+                             .readiness_address = each["readiness_address"]});
+    }
+    ev::default_loop loop;
+    flow_caller callers{loop, options, instances};
+    ev::timer end{loop};
+    end.set<&wake_up>();
+    end.start(seconds);
+    loop.run();
+    callers.stop();
+    constexpr double settle_seconds = 3.5;
+    end.start(settle_seconds);
+    loop.run();
+    std::vector<target_report> reports;
+    for (const auto& each : target_addresses) {
+        reports.push_back(ask_target(loop, each));
+    }
+    return judge_all(callers.results(), reports, ended) ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace bramleytrack::standins
+
+int main(int argc, const char** argv) {
+    std::string fleet;
+    std::string ended;
+    int seconds = 20;
+    int flows = 60;
+    bramleytrack::settings::command_line{"[OPTIONS]"}
+        .option("fleet", fleet, "the fleet's description, JSON")
+        .option("seconds", seconds, "how long callers call")
+        .option("flows", flows, "flows that are open at a time")
+        .option("ended", ended, "ids of targets that the run ends, separated by commas")
+        .parse(argc, argv);
+    return bramleytrack::standins::run(fleet, seconds, flows,
+                                       bramleytrack::standins::words_of(ended));
+}
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -8,7 +8,6 @@
 namespace bramleytrack {
 namespace {
 
-using fleet::digest_limits;
 using fleet::peer_digests;
 using fleet::sources;
 
@@ -48,7 +47,7 @@
     // A peer that ranks above this instance, and so is the one to watch.
     std::string watcher() {
         for (int i = 0;; ++i) {
-            const auto name = "peer-" + std::to_string(i);
+            auto name = "peer-" + std::to_string(i);
             if (hash_of(name) > hash_of(std::string_view{"self"})) {
                 return name;
             }
--- a/tests/steering_cold_start_test.cpp
+++ b/tests/steering_cold_start_test.cpp
@@ -151,7 +151,7 @@
         ASSERT_EQ(owners, 1);
     }
     for (const int each : owned) {
-        EXPECT_NEAR(each, targets / number, 40);
+        EXPECT_NEAR(each, static_cast<double>(targets) / number, 40);
     }
 }
 
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -264,8 +264,9 @@
     for (std::uint64_t hash = 0; hash < flows; ++hash) {
         ++counts[chosen(hash * 0x9E3779B97F4A7C15ULL)];
     }
+    constexpr double mean = static_cast<double>(flows) / number;
     for (const int each : counts) {
-        EXPECT_NEAR(each, flows / number, flows / number / 8);
+        EXPECT_NEAR(each, mean, mean / 8);
     }
 }
 
