Steering: Aim the limit of open requests at six tenths of the objective, and keep probes rare

Cause: at five times the callers a quarter of the answers were still late. Answers are timed from the first byte seen here, flows that are open send without asking, and at its floor the limit let a flow in each half second for every instance and target, each of which goes on sending. Change: goal of 0.6 of the objective; probes spaced by the number of instances while slots are busy elsewhere, an instance's share of the slots while some are idle; routes that rank behind another of their service use three quarters of the limit; peers' loads are summed once in 50 ms.

--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -7,6 +7,8 @@
 
 // Peers that are gone for longer are dropped from memory.
 constexpr clock::duration memory{10'000};
+// Digests come each 300 ms from each peer; sums that are a sixth of that older change no choice.
+constexpr clock::duration summary_lifetime{50};
 
 }  // namespace
 
@@ -79,8 +81,13 @@
     return result;
 }
 
-double peer_digests::open_elsewhere(steering::routing_token token, clock::time_point now) const {
-    double open = 0;
+const std::unordered_map<steering::routing_token, peer_digests::told_load>& peer_digests::summary(
+    clock::time_point now) const {
+    if (now < summary_until_) {
+        return summary_;
+    }
+    summary_until_ = now + summary_lifetime;
+    summary_.clear();
     std::size_t fresh = 0;
     for (const auto& [name, entry] : heard_) {
         if (!is_fresh(entry, now)) {
@@ -88,23 +95,30 @@
         }
         ++fresh;
         for (const auto& each : entry.content.loads) {
-            open +=
-                static_cast<steering::routing_token>(each.token) == token ? each.open_requests : 0;
+            auto& told = summary_[static_cast<steering::routing_token>(each.token)];
+            told.open += each.open_requests;
+            told.is_silent = told.is_silent || each.is_silent;
         }
     }
     // In a large fleet only some peers are heard at a time: they stand for the others.
     const auto peers = static_cast<double>(known_.peers().size()) - 1;
-    return fresh == 0 ? 0 : open * std::max(1.0, peers / static_cast<double>(fresh));
+    const double weight = fresh == 0 ? 1.0 : std::max(1.0, peers / static_cast<double>(fresh));
+    for (auto& [token, told] : summary_) {
+        told.open *= weight;
+    }
+    return summary_;
+}
+
+double peer_digests::open_elsewhere(steering::routing_token token, clock::time_point now) const {
+    const auto& known = summary(now);
+    const auto found = known.find(token);
+    return found == known.end() ? 0 : found->second.open;
 }
 
 bool peer_digests::is_silent_elsewhere(steering::routing_token token, clock::time_point now) const {
-    return std::ranges::any_of(heard_, [&](const auto& each) {
-        return is_fresh(each.second, now) &&
-               std::ranges::any_of(each.second.content.loads, [token](const auto& report) {
-                   return report.is_silent &&
-                          static_cast<steering::routing_token>(report.token) == token;
-               });
-    });
+    const auto& known = summary(now);
+    const auto found = known.find(token);
+    return found != known.end() && found->second.is_silent;
 }
 
 }  // namespace bramleytrack::fleet
--- a/libraries/fleet/peer_digests.h
+++ b/libraries/fleet/peer_digests.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "discovery/directory.h"
@@ -62,6 +63,16 @@
     bool is_silent_elsewhere(steering::routing_token token, clock::time_point now) const override;
 
 private:
+    struct told_load {
+        double open = 0;
+        bool is_silent = false;
+    };
+
+    // What fresh digests say of each target together. An opening looks up every target of a
+    // service, so the sums are kept for a moment instead of being made anew for each.
+    const std::unordered_map<steering::routing_token, told_load>& summary(
+        clock::time_point now) const;
+
     const discovery::directory& known_;
     std::string self_;
     digest_limits limits_;
@@ -70,6 +81,8 @@
     clock::time_point heard_at_;
     clock::time_point store_missed_at_;
     std::vector<std::string> order_;  // receivers still to come in this round
+    mutable std::unordered_map<steering::routing_token, told_load> summary_;
+    mutable clock::time_point summary_until_;
 };
 
 }  // namespace bramleytrack::fleet
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -67,8 +67,8 @@
     signs.opened_at = now;
 }
 
-observation flow_watch::note_packet(const segment& content, clock::duration objective, int slots,
-                                    clock::time_point now) {
+observation flow_watch::note_packet(const segment& content, clock::duration objective,
+                                    const capacity& target, clock::time_point now) {
     observation result;
     const bool is_end = content.is_reset || content.is_closing;
     auto* known = find_or_adopt(content, is_end);
@@ -88,7 +88,7 @@
     if (content.length > 0) {
         note_data(flow, content, result, now);
     } else if (!is_end) {
-        note_acknowledgement(flow, objective, slots, result, now);
+        note_acknowledgement(flow, objective, target, result, now);
     }
     if (is_after(content.acknowledged, flow.acknowledged)) {
         flow.acknowledged = content.acknowledged;
@@ -165,8 +165,9 @@
 
 // Callers acknowledge without data only when something of the target has just arrived. An
 // acknowledgement that comes with data is no such sign: the answer may have come long before.
-void flow_watch::note_acknowledgement(flow_state& flow, clock::duration objective, int slots,
-                                      observation& result, clock::time_point now) {
+void flow_watch::note_acknowledgement(flow_state& flow, clock::duration objective,
+                                      const capacity& target, observation& result,
+                                      clock::time_point now) {
     auto& signs = signs_[flow.token];
     note_life(signs, now);
     if (!flow.is_request_sent) {
@@ -175,7 +176,7 @@
     result.is_answer = true;
     result.answer_took = now - flow.request_at;
     if (objective > clock::duration{0}) {
-        signs.limit.on_answer(result.answer_took, objective, signs.open_requests, slots);
+        signs.limit.on_answer(result.answer_took, objective, signs.open_requests, target);
     }
     const auto took = static_cast<double>(result.answer_took.count());
     signs.answer_ms += signs.answer_ms == 0 ? took : (took - signs.answer_ms) * answer_weight;
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -85,9 +85,10 @@
     // The target chosen for an earlier copy of this opening packet didn't answer.
     void note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
-    // `objective` is that of the flow's route, 0 when none is known; `slots` are its target's.
-    observation note_packet(const segment& content, clock::duration objective, int slots,
-                            clock::time_point now);
+    // `objective` is that of the flow's route, 0 when none is known; `target` tells what its target
+    // bears.
+    observation note_packet(const segment& content, clock::duration objective,
+                            const capacity& target, clock::time_point now);
     void expire(clock::time_point now);
 
     const target_signs& signs(routing_token token) const;
@@ -102,7 +103,7 @@
     void note_data(flow_state& flow, const segment& content, observation& result,
                    clock::time_point now);
     void note_repeat(flow_state& flow, observation& result, clock::time_point now);
-    void note_acknowledgement(flow_state& flow, clock::duration objective, int slots,
+    void note_acknowledgement(flow_state& flow, clock::duration objective, const capacity& target,
                               observation& result, clock::time_point now);
     void release(const flow_state& flow);
     void note_life(target_signs& signs, clock::time_point now);
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -83,7 +83,8 @@
     }
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
-    const auto candidates = pool == nullptr ? std::vector<candidate>{} : candidates_of(*pool, now);
+    const auto candidates =
+        pool == nullptr ? std::vector<candidate>{} : candidates_of(*pool, *route, now);
     const auto choice = choose(candidates, flow_hash, content.copy);
     if (const auto* none = std::get_if<no_choice>(&choice)) {
         // Every answer would be late, and the caller's wait would delay the others: it learns so
@@ -123,7 +124,7 @@
     }
     const auto* route = known_.find_route(content.flow.route);
     const auto objective = route == nullptr ? clock::duration{0} : route->latency_objective;
-    const auto seen = flows_.note_packet(content, objective, target->entry.slots, now);
+    const auto seen = flows_.note_packet(content, objective, capacity_of(*target), now);
     if (seen.is_answer_to_opening) {
         observer_.on_opening_answered(*target, seen.opening_took);
     }
@@ -180,7 +181,17 @@
     return nullptr;
 }
 
-std::vector<candidate> steering::candidates_of(const discovery::pool& pool, clock::time_point now) {
+capacity steering::capacity_of(const discovery::target& target) const {
+    return {.slots = target.entry.slots, .instances = static_cast<int>(known_.peers().size())};
+}
+
+std::vector<candidate> steering::candidates_of(const discovery::pool& pool,
+                                               const discovery::route& route,
+                                               clock::time_point now) {
+    // Callers of a route that operators rank behind another one of the service are turned away
+    // first.
+    const bool is_urgent = route.priority <= pool.most_urgent;
+    const double share = is_urgent ? 1.0 : concurrency_limit::less_urgent_share;
     std::vector<candidate> result;
     for (const auto* each : pool.targets) {
         if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone)) {
@@ -193,14 +204,16 @@
             continue;
         }
         const auto& signs = flows_.signs(each->token);
-        const auto open = signs.open_requests + loads_.open_elsewhere(each->token, now);
+        const target_use use{.open = static_cast<double>(signs.open_requests),
+                             .elsewhere = loads_.open_elsewhere(each->token, now),
+                             .answer_ms = signs.answer_ms,
+                             .opened_at = signs.opened_at};
         result.push_back({.subject = each,
                           .is_near = each->entry.zone == zone_,
                           .is_shunned = now < signs.shunned_until ||
                                         loads_.is_silent_elsewhere(each->token, now),
-                          .has_room = signs.limit.has_room(signs.open_requests, each->entry.slots,
-                                                           signs.answer_ms, signs.opened_at, now),
-                          .load = open / std::max(1, each->entry.slots)});
+                          .has_room = signs.limit.has_room(use, capacity_of(*each), share, now),
+                          .load = (use.open + use.elsewhere) / std::max(1, each->entry.slots)});
     }
     return result;
 }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -96,7 +96,9 @@
                                         const discovery::route* route,
                                         const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
-    std::vector<candidate> candidates_of(const discovery::pool& pool, clock::time_point now);
+    std::vector<candidate> candidates_of(const discovery::pool& pool, const discovery::route& route,
+                                         clock::time_point now);
+    capacity capacity_of(const discovery::target& target) const;
     void log_opening(const segment& content, const belief& state, const discovery::route* route,
                      const decision& made, std::size_t candidates, clock::time_point now);
     void log_later(const segment& content, const decision& made, clock::time_point now);
