Bramleyctl: Explain a flow from the logs, and show what instances believe

Cause: an engineer on call has only logs and metrics. `explain CALLER [LOG...]` tells a flow's openings, copies, placements, resets and late answers in order, what its instances and targets went through around it, the cause in a sentence, and where lines were left out; `overview ADDRESS...` shows versions, ages and readiness from the metrics. Lines for openings that a target left unanswered and for late answers are new; resets name the target.

--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -1,6 +1,7 @@
 #include "steering/steering.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/hash.h"
 
@@ -79,6 +80,7 @@
                       0);
     }
     if (content.copy > 0) {
+        log_unanswered(content, now);
         flows_.note_unanswered(content.flow, now);
     }
     const auto flow_hash = hash_of_flow(content);
@@ -130,6 +132,7 @@
     }
     if (seen.is_answer) {
         observer_.on_answer(*target, seen.answer_took);
+        log_if_late(content, *target, objective, seen.answer_took, now);
     }
     if (const auto reason = hopeless(*target, route, seen)) {
         return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged}, *reason});
@@ -252,14 +255,49 @@
     if (!log_.admits(log_kind::delivery, now)) {
         return;
     }
+    const auto* target = known_.find_target(content.token);
     auto event = flow_event("packet", content.flow);
     event.with("sequence", content.sequence)
         .with("acknowledged", content.acknowledged)
         .with("token", content.token)
+        .with("target", target == nullptr ? std::string{"unknown"} : target->entry.id)
         .with("decision", name_of_decision(made))
         .with("reason", name_of(reason_of(made)))
         .with("version", known_.in_force().version);
     log_.write(event);
 }
 
+// A copy of an opening packet came: the target that was chosen before hasn't answered.
+void steering::log_unanswered(const segment& content, clock::time_point now) {
+    const auto* flow = flows_.find(content.flow);
+    const auto* target = flow == nullptr ? nullptr : known_.find_target(flow->token);
+    if (target == nullptr || flow->is_established || !log_.admits(log_kind::answer, now)) {
+        return;
+    }
+    auto event = flow_event("unanswered", content.flow);
+    event.with("sequence", content.sequence)
+        .with("copy", content.copy)
+        .with("target", target->entry.id)
+        .with("after_ms", (now - flow->seen_at).count())
+        .with("target_answered_ms_ago", age_of(flows_.signs(target->token).answered_at, now));
+    log_.write(event);
+}
+
+void steering::log_if_late(const segment& content, const discovery::target& target,
+                           clock::duration objective, clock::duration took, clock::time_point now) {
+    const bool is_late = objective > clock::duration{0} && took > objective;
+    if (!is_late || !log_.admits(log_kind::answer, now)) {
+        return;
+    }
+    const auto& signs = flows_.signs(target.token);
+    auto event = flow_event("late_answer", content.flow);
+    event.with("target", target.entry.id)
+        .with("took_ms", took.count())
+        .with("objective_ms", objective.count())
+        .with("open_requests", signs.open_requests)
+        .with("usual_ms", std::llround(signs.answer_ms))
+        .with("target_age_ms", age_of(target.changed_at, now));
+    log_.write(event);
+}
+
 }  // namespace bramleytrack::steering
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -101,6 +101,9 @@
     capacity capacity_of(const discovery::target& target) const;
     void log_opening(const segment& content, const belief& state, const discovery::route* route,
                      const decision& made, std::size_t candidates, clock::time_point now);
+    void log_unanswered(const segment& content, clock::time_point now);
+    void log_if_late(const segment& content, const discovery::target& target,
+                     clock::duration objective, clock::duration took, clock::time_point now);
     void log_later(const segment& content, const decision& made, clock::time_point now);
 
     std::string zone_;
--- a/services/bramleyctl/commands.cpp
+++ b/services/bramleyctl/commands.cpp
@@ -12,7 +12,9 @@
 #include "configuration/change_trail.h"
 #include "configuration/difference.h"
 #include "configuration/parse.h"
+#include "explain.h"
 #include "fleet_status.h"
+#include "overview.h"
 #include "store_session.h"
 
 namespace bramleytrack::ctl {
@@ -362,6 +364,12 @@
         entry{"target", &command::change_state}, entry{"instance", &command::change_state},
     };
     const std::string_view name = arguments.empty() ? std::string_view{} : arguments.front();
+    if (name == "explain") {
+        return explain(options, arguments);
+    }
+    if (name == "overview") {
+        return overview(options, arguments);
+    }
     const auto* found = std::ranges::find(table, name, &entry::name);
     if (found == table.end()) {
         fail(result_code::usage, "unknown command \"" + std::string{name} + "\"; see --help");
--- /dev/null
+++ b/services/bramleyctl/overview.cpp
@@ -0,0 +1,100 @@
+#include "overview.h"
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "net/http_client.h"
+
+namespace bramleytrack::ctl {
+namespace {
+
+constexpr int http_ok = 200;
+constexpr int usage_status = 2;
+constexpr int differing_status = 6;
+
+struct column {
+    const char* heading;
+    const char* gauge;
+};
+
+constexpr std::array columns{
+    column{"ready", "bramleytrack_ready"},
+    column{"version", "bramleytrack_configuration_version"},
+    column{"revision", "bramleytrack_store_revision"},
+    column{"confirmed_ms_ago", "bramleytrack_confirmed_ms_ago"},
+    column{"store", "bramleytrack_store_reachable"},
+    column{"targets", "bramleytrack_targets"},
+    column{"zones_out", "bramleytrack_zones_out"},
+    column{"peers", "bramleytrack_peers"},
+    column{"flows", "bramleytrack_flows"},
+};
+
+std::string fetch(const std::string& address, clock::duration limit) {
+    ev::dynamic_loop loop;
+    net::http_client client{loop};
+    std::string body;
+    client.get("http://" + address + "/metrics", limit, [&](const net::http_result& answer) {
+        body = answer.status == http_ok ? answer.body : "";
+        loop.break_loop(ev::ONE);
+    });
+    loop.run();
+    return body;
+}
+
+}  // namespace
+
+std::map<std::string, double> parse_gauges(std::string_view text) {
+    std::map<std::string, double> result;
+    std::istringstream lines{std::string{text}};
+    for (std::string line; std::getline(lines, line);) {
+        const auto space = line.find(' ');
+        const bool is_plain = !line.starts_with('#') && line.find('{') == std::string::npos &&
+                              space != std::string::npos;
+        if (is_plain) {
+            result[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
+        }
+    }
+    return result;
+}
+
+int overview(const options& options, std::span<const std::string> arguments) {
+    if (arguments.size() < 2) {
+        std::fprintf(stderr, "bramleyctl: overview ADDRESS..., metrics addresses as ip:port\n");
+        return usage_status;
+    }
+    auto rows = nlohmann::ordered_json::array();
+    std::set<double> versions;
+    bool have_all_answered = true;
+    for (const auto& address : arguments.subspan(1)) {
+        const auto gauges = parse_gauges(fetch(address, clock::duration{options.timeout_ms}));
+        nlohmann::ordered_json row{{"instance", address}, {"reachable", !gauges.empty()}};
+        have_all_answered = have_all_answered && !gauges.empty();
+        for (const auto& each : columns) {
+            const auto found = gauges.find(each.gauge);
+            row[each.heading] = found == gauges.end() ? nlohmann::ordered_json{}
+                                                      : nlohmann::ordered_json(found->second);
+        }
+        if (!gauges.empty()) {
+            versions.insert(gauges.at(columns[1].gauge));
+        }
+        rows.push_back(row);
+    }
+    if (options.is_json) {
+        std::printf("%s\n", rows.dump(2).c_str());
+    } else {
+        for (const auto& row : rows) {
+            std::printf("%s", row["instance"].get<std::string>().c_str());
+            for (const auto& each : columns) {
+                std::printf(" %s=%s", each.heading, row[each.heading].dump().c_str());
+            }
+            std::printf("\n");
+        }
+    }
+    return have_all_answered && versions.size() == 1 ? 0 : differing_status;
+}
+
+}  // namespace bramleytrack::ctl
--- a/standins/flow_caller/main.cpp
+++ b/standins/flow_caller/main.cpp
@@ -131,6 +131,7 @@
     end.start(settle_seconds);
     loop.run();
     std::vector<target_report> reports;
+    reports.reserve(target_addresses.size());
     for (const auto& each : target_addresses) {
         reports.push_back(ask_target(loop, each));
     }
