Routing: Answer at once when a whole zone has no instance left; keep routes in their regions

The two killed are all that the zone has; the others waited 3 s for a takeover that can't come, longer than the callers' deadlines. Now a request on a zone without live instances is answered `unknown` as soon as they count as dead. Also, for the token's path: routes with allowed regions; flows of a dropped route are ended only where they were seen before the drop and on fresh word; settings name the regions and are tested. Ruled out: answering at once also while this instance has just started, since it can't know its peers yet.

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -31,7 +31,7 @@
 change directory::apply(const record& subject, std::int64_t revision, bool is_store_suspect,
                         clock::time_point now) {
     if (const auto* text = std::get_if<catalogue>(&subject)) {
-        return take(*text);
+        return take(*text, now);
     }
     if (const auto* entry = std::get_if<target_entry>(&subject)) {
         return take(*entry, revision, now);
@@ -59,6 +59,11 @@
     return found == routes_.end() ? nullptr : found->second;
 }
 
+std::optional<clock::time_point> directory::dropped_at(const endpoint& address) const {
+    const auto found = dropped_.find(address);
+    return found == dropped_.end() ? std::nullopt : std::optional{found->second};
+}
+
 const pool* directory::find_pool(std::string_view service) const {
     if (are_pools_stale_) {
         rebuild_pools();
@@ -101,7 +106,7 @@
     }
 }
 
-change directory::take(const catalogue& offered) {
+change directory::take(const catalogue& offered, clock::time_point now) {
     if (offered.version <= catalogue_.version) {
         return change::none;
     }
@@ -115,7 +120,7 @@
     }
     for (const auto& each : catalogue_.routes) {
         if (!kept.contains(each.address)) {
-            dropped_.insert(each.address);
+            dropped_.emplace(each.address, now);
         }
     }
     catalogue_ = offered;
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -44,6 +45,8 @@
 public:
     explicit directory(directory_limits limits = {}) : limits_{limits} {}
 
+    void set_flow_lifetime(clock::duration lifetime) { limits_.flow_lifetime = lifetime; }
+
     // `is_store_suspect` says that the store was away within the grace: removals may be lapses.
     change apply(const record& subject, std::int64_t revision, bool is_store_suspect,
                  clock::time_point now);
@@ -53,8 +56,8 @@
     bool has_catalogue() const { return catalogue_.version > 0; }
     const catalogue& in_force() const { return catalogue_; }
     const route* find_route(const endpoint& address) const;
-    // Whether this instance has seen the route before it was dropped.
-    bool is_dropped_route(const endpoint& address) const { return dropped_.contains(address); }
+    // When the route was dropped, if this instance has seen it before.
+    std::optional<clock::time_point> dropped_at(const endpoint& address) const;
     const pool* find_pool(std::string_view service) const;
     // Nothing for a token that no target has, or had within the life of a flow.
     const target* find_target(routing_token token) const;
@@ -65,7 +68,7 @@
     void for_each_target(const std::function<void(const target&)>& visit) const;
 
 private:
-    change take(const catalogue& offered);
+    change take(const catalogue& offered, clock::time_point now);
     change take(const target_entry& offered, std::int64_t revision, clock::time_point now);
     change remove_target(std::string_view id, std::int64_t revision, bool is_store_suspect,
                          clock::time_point now);
@@ -76,7 +79,7 @@
     directory_limits limits_;
     catalogue catalogue_;
     std::map<endpoint, const route*> routes_;                              // into catalogue_
-    std::set<endpoint> dropped_;                                           // bounded, see take()
+    std::map<endpoint, clock::time_point> dropped_;                        // bounded, see take()
     std::map<std::string, std::unique_ptr<target>, std::less<>> targets_;  // by id
     std::unordered_map<routing_token, std::vector<target*>> by_token_;
     // Derived from the above when it is asked for: a read of the store brings thousands of targets.
--- a/libraries/discovery/records.h
+++ b/libraries/discovery/records.h
@@ -34,7 +34,9 @@
     std::vector<split> splits;
     int priority = 0;                      // 0 is served first
     clock::duration latency_objective{0};  // for the answer to a request; 0 when none is named
-    bool is_idempotent = false;            // its requests may run more than once
+    // Regions whose targets may serve it; all when it is empty.
+    std::vector<std::string> allowed_regions;
+    bool is_idempotent = false;  // its requests may run more than once
 };
 
 struct service {
--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -85,13 +85,23 @@
                          clock::time_point now) {
     const auto since = without_owner_.try_emplace(target, now).first->second;
     const bool is_request = subject.kind == wire::packet_kind::request;
-    if (is_request && now - since < takeover_time) {
+    if (is_request && now - since < takeover_time && can_be_taken_over(target, now)) {
         context_.drop(subject, result_code::zone_unreachable);
         return;
     }
     give_up(subject, result_code::zone_unreachable);
 }
 
+// Failure: all instances of a zone die, nobody can take its targets over, and requests on their
+// flows get no outcome before their deadlines. An instance that has just started hasn't heard of
+// the zone's instances yet and can't know.
+bool router::can_be_taken_over(const std::string& target, clock::time_point now) const {
+    const auto* subject = context_.configuration.find_target(target);
+    const bool knows_peers = now - context_.self.started >= takeover_time;
+    return subject == nullptr || !knows_peers ||
+           !context_.peers.eligible_owners(subject->zone, now).empty();
+}
+
 // Failure: another copy of the same request may have taken a path that still works, so "not run"
 // could be false. Only the opening of a flow is refused here: no request precedes its acceptance.
 void router::give_up(const wire::packet& subject, result_code code) {
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -32,6 +32,7 @@
 
 private:
     void pass_on(wire::forward content, std::string_view peer);
+    bool can_be_taken_over(const std::string& target, clock::time_point now) const;
     void on_no_owner(const std::string& target, const wire::packet& subject, clock::time_point now);
     void give_up(const wire::packet& subject, result_code code);
 
--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -73,6 +73,21 @@
 }
 
 constexpr std::string_view seeds_key = "seeds";
+constexpr std::string_view zones_key = "zones";
+
+bool read_zones(const json& root, steering_settings& result) {
+    const auto found = root.find(zones_key);
+    if (found == root.end() || !found->is_object()) {
+        return false;
+    }
+    for (const auto& [zone, region] : found->items()) {
+        if (!region.is_string()) {
+            return false;
+        }
+        result.zones[zone] = region.get<std::string>();
+    }
+    return result.zones.contains(result.zone);
+}
 
 bool read_seeds(const json& root, steering_settings& result) {
     const auto found = root.find(seeds_key);
@@ -115,6 +130,10 @@
             faults.push_back(expected(each.name, "a number of seconds above 0, at most 3600"));
         }
     }
+    names.emplace_back(zones_key);
+    if (!read_zones(root, result)) {
+        faults.push_back(expected(zones_key, "an object that names the region of each zone"));
+    }
     names.emplace_back(seeds_key);
     if (!read_seeds(root, result)) {
         faults.push_back(expected(seeds_key, "a list of numeric ip:port, which may be empty"));
--- a/libraries/settings/steering_settings.h
+++ b/libraries/settings/steering_settings.h
@@ -1,6 +1,8 @@
 // Settings of an instance that routes by token: JSON with comments.
 #pragma once
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -14,6 +16,7 @@
 struct steering_settings {
     std::string name;
     std::string zone;
+    std::map<std::string, std::string, std::less<>> zones;  // the region of each availability zone
     std::string packet_address;      // UDP, callers' packets by way of the fabric
     std::string readiness_address;   // HTTP, any path: 200 while new flows are wanted here
     std::string metrics_address;     // HTTP: /metrics
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -71,7 +71,7 @@
                                     const capacity& target, clock::time_point now) {
     observation result;
     const bool is_end = content.is_reset || content.is_closing;
-    auto* known = find_or_adopt(content, is_end);
+    auto* known = find_or_adopt(content, is_end, now);
     if (known == nullptr) {
         return result;
     }
@@ -101,7 +101,7 @@
 }
 
 // The record of the packet's flow; nothing when there is none and none is worth making.
-flow_state* flow_watch::find_or_adopt(const segment& content, bool is_end) {
+flow_state* flow_watch::find_or_adopt(const segment& content, bool is_end, clock::time_point now) {
     auto found = flows_.find(content.flow);
     if (found != flows_.end() && found->second.token == content.token) {
         return &found->second;
@@ -112,6 +112,7 @@
         }
         // The flow was opened through another instance.
         found = flows_.emplace(content.flow, flow_state{}).first;
+        found->second.opened_at = now;
         found->second.acknowledged = content.acknowledged;
         found->second.next_sequence = content.sequence;
     } else {
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -39,7 +39,7 @@
     std::uint32_t opening_sequence = 0;
     std::uint32_t next_sequence = 0;  // after the newest data that was forwarded
     std::uint32_t acknowledged = 0;
-    clock::time_point opened_at;   // first opening packet here
+    clock::time_point opened_at;   // newest opening packet, or first other packet, here
     clock::time_point request_at;  // first byte of the request that is open
     clock::time_point seen_at;
     bool is_established = false;
@@ -99,7 +99,7 @@
     int openings_without_answer() const { return openings_without_answer_; }
 
 private:
-    flow_state* find_or_adopt(const segment& content, bool is_end);
+    flow_state* find_or_adopt(const segment& content, bool is_end, clock::time_point now);
     void note_data(flow_state& flow, const segment& content, observation& result,
                    clock::time_point now);
     void note_repeat(flow_state& flow, observation& result, clock::time_point now);
--- a/libraries/steering/placement.cpp
+++ b/libraries/steering/placement.cpp
@@ -60,8 +60,11 @@
         return no_choice::no_target;
     }
     using group = bool (*)(const candidate&);
-    constexpr std::array<group, 2> preferred{
+    constexpr std::array<group, 3> preferred{
         [](const candidate& each) { return !each.is_shunned && each.has_room && each.is_near; },
+        [](const candidate& each) {
+            return !each.is_shunned && each.has_room && each.is_in_region;
+        },
         [](const candidate& each) { return !each.is_shunned && each.has_room; }};
     for (const auto is_member : preferred) {
         if (const auto found = lighter_of_first(candidates, flow_hash, copy, is_member)) {
--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -17,10 +17,11 @@
 // What is known of a target when a flow is to be placed.
 struct candidate {
     const discovery::target* subject = nullptr;
-    bool is_near = false;     // in this instance's zone
-    bool is_shunned = false;  // left an opening unanswered not long ago
-    bool has_room = true;     // see concurrency_limit
-    double load = 0;          // requests that are open on it, by slot, as far as all instances tell
+    bool is_in_region = true;  // in this instance's region
+    bool is_near = false;      // in this instance's zone
+    bool is_shunned = false;   // left an opening unanswered not long ago
+    bool has_room = true;      // see concurrency_limit
+    double load = 0;  // requests that are open on it, by slot, as far as all instances tell
 };
 
 // Why no target was chosen.
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -40,10 +40,10 @@
 
 }  // namespace
 
-steering::steering(std::string zone, const discovery::directory& known, cold_gate& cold,
+steering::steering(place here, const discovery::directory& known, cold_gate& cold,
                    const load_view& loads, event_log& log, flow_observer& observer,
                    steering_limits limits)
-    : zone_{std::move(zone)},
+    : place_{std::move(here)},
       known_{known},
       cold_{cold},
       loads_{loads},
@@ -114,8 +114,7 @@
         log_later(content, made, now);
         return made;
     };
-    const bool is_fresh = now - state.confirmed <= limits_.refusal_age;
-    if (is_fresh && known_.is_dropped_route(content.flow.route)) {
+    if (is_left_by_its_route(content, state, now)) {
         return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged},
                              result_code::unknown_route});
     }
@@ -140,6 +139,17 @@
     return forward{target};
 }
 
+// Failure: a route is dropped and comes back. An instance that hasn't heard of its return resets a
+// flow that was opened through another one. So only flows that were seen here before the drop are
+// ended, and only on word that is fresh.
+bool steering::is_left_by_its_route(const segment& content, const belief& state,
+                                    clock::time_point now) const {
+    const auto dropped_at = known_.dropped_at(content.flow.route);
+    const auto* flow = flows_.find(content.flow);
+    return dropped_at.has_value() && flow != nullptr && flow->opened_at < *dropped_at &&
+           now - state.confirmed <= limits_.refusal_age;
+}
+
 // Failure: a target has died, has left, or can't be reached, and its callers wait for their
 // deadlines on flows that lead nowhere. A reset lets them go elsewhere, but would break the flow of
 // a target that lives, so it needs evidence beyond doubt.
@@ -188,6 +198,17 @@
     return {.slots = target.entry.slots, .instances = static_cast<int>(known_.peers().size())};
 }
 
+std::string_view steering::region_of(std::string_view zone) const {
+    const auto found = place_.regions.find(zone);
+    return found == place_.regions.end() ? std::string_view{} : std::string_view{found->second};
+}
+
+// A zone whose region isn't known is no place for what must stay in a region.
+bool steering::is_allowed(const discovery::route& route, std::string_view zone) const {
+    return route.allowed_regions.empty() ||
+           std::ranges::find(route.allowed_regions, region_of(zone)) != route.allowed_regions.end();
+}
+
 std::vector<candidate> steering::candidates_of(const discovery::pool& pool,
                                                const discovery::route& route,
                                                clock::time_point now) {
@@ -197,7 +218,8 @@
     const double share = is_urgent ? 1.0 : concurrency_limit::less_urgent_share;
     std::vector<candidate> result;
     for (const auto* each : pool.targets) {
-        if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone)) {
+        if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
+            !is_allowed(route, each->entry.zone)) {
             continue;
         }
         const bool is_barred =
@@ -212,7 +234,8 @@
                              .answer_ms = signs.answer_ms,
                              .opened_at = signs.opened_at};
         result.push_back({.subject = each,
-                          .is_near = each->entry.zone == zone_,
+                          .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
+                          .is_near = each->entry.zone == place_.zone,
                           .is_shunned = now < signs.shunned_until ||
                                         loads_.is_silent_elsewhere(each->token, now),
                           .has_room = signs.limit.has_room(use, capacity_of(*each), share, now),
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -6,6 +6,7 @@
 // record of the flow, a hop, or an agreement with peers; nothing is lost when an instance ends.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -51,6 +52,12 @@
     clock::duration refusal_age{3'000};
 };
 
+// Where this instance is.
+struct place {
+    std::string zone;
+    std::map<std::string, std::string, std::less<>> regions;  // by availability zone
+};
+
 // Load of targets as all instances together report it.
 class load_view {
 public:
@@ -80,9 +87,8 @@
 
 class steering {
 public:
-    steering(std::string zone, const discovery::directory& known, cold_gate& cold,
-             const load_view& loads, event_log& log, flow_observer& observer,
-             steering_limits limits = {});
+    steering(place here, const discovery::directory& known, cold_gate& cold, const load_view& loads,
+             event_log& log, flow_observer& observer, steering_limits limits = {});
 
     decision on_segment(const segment& content, const belief& state, clock::time_point now);
     void expire(clock::time_point now);
@@ -92,12 +98,16 @@
 private:
     decision on_opening(const segment& content, const belief& state, clock::time_point now);
     decision on_later_packet(const segment& content, const belief& state, clock::time_point now);
+    bool is_left_by_its_route(const segment& content, const belief& state,
+                              clock::time_point now) const;
     std::optional<result_code> hopeless(const discovery::target& target,
                                         const discovery::route* route,
                                         const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
     std::vector<candidate> candidates_of(const discovery::pool& pool, const discovery::route& route,
                                          clock::time_point now);
+    std::string_view region_of(std::string_view zone) const;
+    bool is_allowed(const discovery::route& route, std::string_view zone) const;
     capacity capacity_of(const discovery::target& target) const;
     void log_opening(const segment& content, const belief& state, const discovery::route* route,
                      const decision& made, std::size_t candidates, clock::time_point now);
@@ -106,7 +116,7 @@
                      clock::duration objective, clock::duration took, clock::time_point now);
     void log_later(const segment& content, const decision& made, clock::time_point now);
 
-    std::string zone_;
+    place place_;
     const discovery::directory& known_;
     cold_gate& cold_;
     const load_view& loads_;
--- a/meta/steering_fleet.sh
+++ b/meta/steering_fleet.sh
@@ -26,7 +26,7 @@
         name="$zone-$(((i + 2) / 3))"
         instances+=("$name")
         cat >"$workspace/$name.json" <<JSON
-{ "name": "$name", "zone": "$zone",
+{ "name": "$name", "zone": "$zone", "zones": {"north": "r", "middle": "r", "south": "r"},
   "packet_address": "127.0.1.$i:$packet_port", "readiness_address": "127.0.1.$i:$readiness_port",
   "metrics_address": "127.0.1.$i:$metrics_port", "peer_address": "127.0.1.$i:$peer_port",
   "pull_address": "127.0.1.$i:$pull_port", "seeds": ["127.0.1.1:$pull_port", "127.0.1.2:$pull_port"],
--- a/services/bramleyctl/flow_story.cpp
+++ b/services/bramleyctl/flow_story.cpp
@@ -128,7 +128,7 @@
             return story_;
         }
         for (const auto* record : own_) {
-            const auto found = std::ranges::find(flow_events, record->event, &teller::event);
+            const auto* found = std::ranges::find(flow_events, record->event, &teller::event);
             story_.steps.push_back(
                 {.at = record->at, .instance = record->instance, .text = found->tell(*record)});
         }
@@ -188,7 +188,7 @@
                     "caller's copy went to another one: full, dead, or cut off.";
             } else if (record->text("decision") != "forward") {
                 const auto reason = field(*record, "reason");
-                const auto found = std::ranges::find(explanations, reason, &explanation::reason);
+                const auto* found = std::ranges::find(explanations, reason, &explanation::reason);
                 story_.outcome = reason;
                 story_.cause =
                     found == explanations.end() ? "See RESULT-CODES." : std::string{found->cause};
--- a/services/bramleyctl/log_record.cpp
+++ b/services/bramleyctl/log_record.cpp
@@ -11,7 +11,8 @@
 bool take_pair(std::string_view& rest, std::string& key, std::string& value) {
     rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
     const auto equals = rest.find('=');
-    if (equals == std::string_view::npos || rest.substr(0, equals).find(' ') != rest.npos) {
+    if (equals == std::string_view::npos ||
+        rest.substr(0, equals).find(' ') != std::string_view::npos) {
         return false;
     }
     key = rest.substr(0, equals);
@@ -37,20 +38,21 @@
 // 2026-12-03T01:15:49.123, taken as UTC.
 std::optional<std::int64_t> parse_time(const std::string& text) {
     int year = 0;
-    unsigned month = 0;
-    unsigned day = 0;
+    int month = 0;
+    int day = 0;
     int hour = 0;
     int minute = 0;
     int second = 0;
     int millisecond = 0;
     constexpr int fields = 7;
     // NOLINTNEXTLINE(cert-err34-c): a field that is no number makes the count fall short
-    if (std::sscanf(text.c_str(), "%d-%u-%uT%d:%d:%d.%d", &year, &month, &day, &hour, &minute,
+    if (std::sscanf(text.c_str(), "%d-%d-%dT%d:%d:%d.%d", &year, &month, &day, &hour, &minute,
                     &second, &millisecond) != fields) {
         return std::nullopt;
     }
     using namespace std::chrono;
-    const sys_days date{std::chrono::year{year} / month / day};
+    const sys_days date{std::chrono::year{year} / std::chrono::month{static_cast<unsigned>(month)} /
+                        std::chrono::day{static_cast<unsigned>(day)}};
     const auto time = date.time_since_epoch() + hours{hour} + minutes{minute} + seconds{second} +
                       milliseconds{millisecond};
     return duration_cast<milliseconds>(time).count();
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -54,7 +54,12 @@
       cold_{settings_.name},
       digests_{directory_, settings_.name, seed_of(settings_.name)},
       sources_{directory_, digests_, settings_.name},
-      steering_{settings_.zone, directory_, cold_, digests_, log_, metrics_},
+      steering_{{.zone = settings_.zone, .regions = settings_.zones},
+                directory_,
+                cold_,
+                digests_,
+                log_,
+                metrics_},
       feed_{parts_.store, mirror_, seed_of(settings_.name)},
       registration_{parts_.store, parts_.registration_key, parts_.registration_value,
                     seed_of(settings_.name)},
@@ -340,6 +345,9 @@
     // Addresses and names hold for the life of the process; what may change is taken over.
     auto changed = settings_;
     changed.stop_grace = offered->stop_grace;
+    changed.flow_lifetime = offered->flow_lifetime;
+    changed.seeds = offered->seeds;  // of use at a start only
+    directory_.set_flow_lifetime(offered->flow_lifetime);
     const bool needs_restart = changed != *offered;
     settings_ = std::move(changed);
     log_.write(log_event{"settings_reloaded"}
--- a/tests/discovery_directory_test.cpp
+++ b/tests/discovery_directory_test.cpp
@@ -24,9 +24,11 @@
 }
 
 discovery::route route_at(std::uint16_t port) {
-    return {.name = "r" + std::to_string(port),
-            .address = {.address = 1, .port = port},
-            .splits = {{.service = "board", .weight = 1}}};
+    discovery::route result;
+    result.name = "r" + std::to_string(port);
+    result.address = {.address = 1, .port = port};
+    result.splits = {{.service = "board", .weight = 1}};
+    return result;
 }
 
 target_entry entry(const std::string& id) {
@@ -67,10 +69,10 @@
 TEST_F(discovery_directory, remembers_routes_that_were_dropped_until_they_return) {
     apply(text(1, {route_at(80), route_at(81)}));
     apply(text(2, {route_at(80)}));
-    EXPECT_TRUE(known_.is_dropped_route({.address = 1, .port = 81}));
+    EXPECT_EQ(known_.dropped_at({.address = 1, .port = 81}), start);
     EXPECT_EQ(known_.find_route({.address = 1, .port = 81}), nullptr);
     apply(text(3, {route_at(80), route_at(81)}));
-    EXPECT_FALSE(known_.is_dropped_route({.address = 1, .port = 81}));
+    EXPECT_FALSE(known_.dropped_at({.address = 1, .port = 81}));
 }
 
 TEST_F(discovery_directory, a_draining_target_takes_no_flows_and_keeps_its_own) {
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -43,8 +43,15 @@
     {"advance", &steering_session::advance}};
 
 steering_session::steering_session()
-    : now_{epoch}, digests_{known_, "self", 1}, cold_{"self"}, subject_{"north",  known_, cold_,
-                                                                        digests_, *this,  *this} {
+    : now_{epoch},
+      digests_{known_, "self", 1},
+      cold_{"self"},
+      subject_{{.zone = "north", .regions = {{"north", "home"}, {"south", "home"}}},
+               known_,
+               cold_,
+               digests_,
+               *this,
+               *this} {
     cold_.on_registered(epoch);
 }
 
