--- /dev/null
+++ b/tests/http_exchange_test.cpp
@@ -0,0 +1,121 @@
+// Net: HTTP between our own client and server on loopback, and what breaks in between.
+#include <gtest/gtest.h>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/tcp.h"
+#include "net/udp_endpoint.h"
+
+namespace bramleytrack {
+namespace {
+
+constexpr clock::duration limit{500};
+
+class http_exchange : public ::testing::Test {
+protected:
+    ev::dynamic_loop loop_;
+    net::http_client client_{loop_};
+    // The port is taken and given back, so that the server finds it free.
+    std::string address_ = free_address();
+
+    static std::string free_address() {
+        const auto socket = net::listen_on(*net::parse_address("127.0.0.1:0"));
+        sockaddr_in local{};
+        socklen_t size = sizeof(local);
+        getsockname(socket.get(), reinterpret_cast<sockaddr*>(&local), &size);
+        return net::to_string(local);
+    }
+
+    net::http_result call(const std::string& method, const std::string& path,
+                          const std::string& body = {}) {
+        net::http_result result{.status = -1, .body = {}};
+        client_.call({.method = method,
+                      .address = *net::parse_address(address_),
+                      .path = path,
+                      .body = body,
+                      .limit = limit},
+                     [&](net::http_result answer) {
+                         result = std::move(answer);
+                         loop_.break_loop(ev::ONE);
+                     });
+        loop_.run();
+        return result;
+    }
+};
+
+TEST_F(http_exchange, carries_method_path_query_and_body) {
+    net::http_request seen;
+    const net::http_server server{
+        loop_, address_, [&](const net::http_request& request, const net::http_responder& respond) {
+            seen = request;
+            respond({.status = 200, .body = "yes"});
+        }};
+    const auto answer = call("POST", "/a/b?key=x%2Fy&other=1", "body");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "yes");
+    EXPECT_EQ(seen.method, "POST");
+    EXPECT_EQ(seen.path, "/a/b");
+    EXPECT_EQ(seen.query_or("key", ""), "x/y");
+    EXPECT_EQ(seen.body, "body");
+}
+
+TEST_F(http_exchange, keeps_a_connection_for_the_next_call) {
+    int requests = 0;
+    const net::http_server server{
+        loop_, address_, [&](const net::http_request&, const net::http_responder& respond) {
+            ++requests;
+            respond({.status = 200, .body = std::string(100'000, 'x')});
+        }};
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(call("GET", "/").body.size(), 100'000U);
+    }
+    EXPECT_EQ(requests, 5);
+}
+
+TEST_F(http_exchange, gives_up_on_an_answer_that_does_not_come) {
+    // A lost answer on a connection that stays open: without a limit of its own the caller would wait
+    // for good.
+    const net::http_server server{loop_, address_,
+                                  [](const net::http_request&, const net::http_responder&) {}};
+    const auto before = clock::now();
+    EXPECT_EQ(call("GET", "/").status, 0);
+    EXPECT_GE(clock::now() - before, limit - clock::duration{50});
+}
+
+TEST_F(http_exchange, reports_a_port_without_listener_at_once) {
+    const auto before = clock::now();
+    EXPECT_EQ(call("GET", "/").status, 0);
+    EXPECT_LT(clock::now() - before, limit);
+}
+
+TEST_F(http_exchange, repeats_a_read_when_a_kept_connection_was_closed_meanwhile) {
+    const auto answer_yes = [](const net::http_request&, const net::http_responder& respond) {
+        respond({.status = 200, .body = "yes"});
+    };
+    auto first = std::make_unique<net::http_server>(loop_, address_, answer_yes);
+    EXPECT_EQ(call("GET", "/").status, 200);
+    first.reset();
+    const net::http_server second{loop_, address_, answer_yes};
+    EXPECT_EQ(call("GET", "/").status, 200);
+}
+
+TEST_F(http_exchange, an_answer_may_come_later) {
+    net::http_responder kept;
+    const net::http_server server{
+        loop_, address_, [&](const net::http_request&, const net::http_responder& respond) {
+            kept = respond;
+            loop_.break_loop(ev::ONE);
+        }};
+    net::http_result result;
+    client_.get("http://" + address_ + "/", limit, [&](net::http_result answer) {
+        result = std::move(answer);
+        loop_.break_loop(ev::ONE);
+    });
+    loop_.run();
+    kept({.status = 503, .body = ""});
+    loop_.run();
+    EXPECT_EQ(result.status, 503);
+}
+
+}  // namespace
+}  // namespace bramleytrack
