Bramleybench: Play overload against the decisions of the token's path

The experiment drives the real core of eight instances packet by packet, around small models of targets and callers.

--- a/services/bramleybench/baselines.cpp
+++ b/services/bramleybench/baselines.cpp
@@ -64,11 +64,12 @@
 
 load::strategies strategies_without(const std::vector<std::string>& names) {
     auto table = load::default_strategies();
-    constexpr std::array<std::string_view, 5> of_flows{
-        "second_candidate", "own_placements", "threshold", "cold_observation", "cold_start"};
+    constexpr std::array<std::string_view, 7> of_flows{
+        "second_candidate", "own_placements",     "threshold",   "cold_observation",
+        "cold_start",       "open_request_limit", "shared_loads"};
     for (const auto& name : names) {
         if (std::ranges::find(of_flows, name) != of_flows.end()) {
-            continue;  // see placement_experiment.h and cold_experiment.h
+            continue;  // see placement_, cold_ and overload_experiment.h
         }
         const auto* found = std::ranges::find(baselines, name, &baseline::name);
         if (found == baselines.end()) {
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -7,6 +7,7 @@
 #include "baselines.h"
 #include "cold_experiment.h"
 #include "load/placement.h"
+#include "overload_experiment.h"
 #include "placement_experiment.h"
 #include "settings/command_line.h"
 #include "summary.h"
@@ -125,6 +126,22 @@
     }
 }
 
+void run_overloads(const options& wanted) {
+    overload_choice choice;
+    for (const auto& name : split(wanted.without)) {
+        choice.has_limit = choice.has_limit && name != "open_request_limit";
+        choice.shares_loads = choice.shares_loads && name != "shared_loads";
+    }
+    for (const auto& pattern : all_overload_patterns()) {
+        if (!is_wanted(wanted, pattern.name)) {
+            continue;
+        }
+        const auto figures = mean_of(
+            wanted.seeds, [&](std::uint64_t seed) { return play_overload(pattern, choice, seed); });
+        print(wanted, pattern.name, pattern.plays, figures);
+    }
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
@@ -140,6 +157,7 @@
         run_requests(wanted);
         run_placements(wanted);
         run_cold_starts(wanted);
+        run_overloads(wanted);
     } catch (const std::exception& fault) {
         std::fprintf(stderr, "%s\n", fault.what());
         return usage_exit_status;
--- /dev/null
+++ b/services/bramleybench/overload_experiment.cpp
@@ -0,0 +1,351 @@
+#include "overload_experiment.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "fleet/peer_digests.h"
+#include "steering/steering.h"
+
+namespace bramleytrack::experiments {
+namespace {
+
+constexpr clock::time_point epoch = to_time_point(1'000'000);
+constexpr clock::duration digest_interval{300};
+constexpr clock::duration network{2};  // caller to target and back
+constexpr clock::duration opening_copy{200};
+constexpr int most_tries = 3;
+constexpr double slow_factor = 5;
+// Callers keep a flow for many requests, with pauses between them.
+constexpr double mean_pause_ms = 300;
+constexpr double work_spread = 0.5;
+constexpr std::uint16_t request_size = 100;
+
+class quiet_log final : public event_log {
+public:
+    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
+    void write(const log_event& /*event*/) override {}
+};
+
+class no_observer final : public steering::flow_observer {
+public:
+    void on_opening_answered(const discovery::target& /*by*/, clock::duration /*took*/) override {}
+    void on_answer(const discovery::target& /*by*/, clock::duration /*took*/) override {}
+    void on_decision(std::string_view /*service*/, const steering::decision& /*made*/) override {}
+};
+
+struct instance {
+    std::unique_ptr<fleet::peer_digests> digests;
+    std::unique_ptr<steering::cold_gate> cold;
+    std::unique_ptr<steering::steering> core;
+};
+
+struct host {
+    double factor = 1;
+    int running = 0;
+    std::deque<int> waiting;  // callers
+};
+
+struct caller {
+    steering::segment last;  // headers of its flow
+    std::size_t instance = 0;
+    std::size_t host = 0;
+    bool has_flow = false;
+    bool is_new_flow = false;
+    int tries = 0;
+    clock::time_point asked;
+};
+
+enum class event_kind { ask, opened, arrived, done, digest };
+
+struct event {
+    clock::time_point at;
+    event_kind kind = event_kind::ask;
+    int subject = 0;  // a caller, or for done a host with its caller below
+    int other = 0;
+
+    bool operator>(const event& right) const { return at > right.at; }
+};
+
+class overload_run {
+public:
+    overload_run(const overload_pattern& pattern, const overload_choice& choice, std::uint64_t seed)
+        : pattern_{pattern}, choice_{choice}, random_{seed} {
+        build_directory();
+        build_instances();
+        hosts_.resize(static_cast<std::size_t>(pattern.targets));
+        const auto slow = std::lround(pattern.slow_share * pattern.targets);
+        for (std::size_t i = 0; i < static_cast<std::size_t>(slow); ++i) {
+            hosts_[i].factor = slow_factor;
+        }
+        // A caller asks again after its pause and the answer's time; so many make up the load.
+        const double per_second =
+            pattern.load * pattern.targets * pattern.slots * 1000.0 / pattern.work_ms;
+        const auto number = std::lround(per_second * (mean_pause_ms + pattern.work_ms) / 1000.0);
+        callers_.resize(static_cast<std::size_t>(number));
+        for (int i = 0; i < static_cast<int>(callers_.size()); ++i) {
+            schedule(pause(), event_kind::ask, i);
+        }
+        schedule(digest_interval, event_kind::digest, 0);
+    }
+
+    std::vector<figure> run() {
+        const auto end = epoch + pattern_.length;
+        while (!events_.empty() && events_.top().at < end) {
+            const auto next = events_.top();
+            events_.pop();
+            now_ = next.at;
+            handle(next);
+        }
+        const auto share = [this](int count) {
+            return asked_ == 0 ? 0.0 : static_cast<double>(count) / asked_;
+        };
+        return {{.name = "in time", .value = share(in_time_)},
+                {.name = "late", .value = share(late_)},
+                {.name = "failed", .value = share(failed_)},
+                {.name = "shed by targets", .value = share(shed_)}};
+    }
+
+private:
+    void build_directory() {
+        discovery::catalogue text;
+        text.version = 1;
+        discovery::route route;
+        route.name = "feed";
+        route.address = {.address = 1, .port = 443};
+        route.splits = {{.service = "board", .weight = 1}};
+        // Without an objective no answer is late, and the limit never falls.
+        route.latency_objective = choice_.has_limit ? pattern_.objective : clock::duration{0};
+        text.routes = {route};
+        text.services = {{.name = "board"}};
+        known_.apply(text, 1, false, epoch);
+        for (int i = 0; i < pattern_.targets; ++i) {
+            discovery::target_entry entry;
+            entry.id = "i-" + std::to_string(i);
+            entry.service = "board";
+            entry.zone = "zone";
+            entry.slots = pattern_.slots;
+            known_.apply(entry, i + 2, false, epoch);
+            host_of_[discovery::token_of(entry.id)] = static_cast<std::size_t>(i);
+        }
+        for (int i = 0; i < pattern_.instances; ++i) {
+            known_.apply(
+                discovery::peer_entry{
+                    .name = name_of(i), .zone = "zone", .address = {}, .pull_address = {}},
+                i + 2, false, epoch);
+        }
+    }
+
+    void build_instances() {
+        for (int i = 0; i < pattern_.instances; ++i) {
+            auto& made = instances_.emplace_back();
+            made.digests = std::make_unique<fleet::peer_digests>(known_, name_of(i), 1);
+            made.cold = std::make_unique<steering::cold_gate>(name_of(i));
+            made.core = std::make_unique<steering::steering>(
+                steering::place{.zone = "zone", .regions = {}}, known_, *made.cold, *made.digests,
+                log_, observer_);
+        }
+    }
+
+    static std::string name_of(int instance) { return "instance-" + std::to_string(instance); }
+
+    clock::duration pause() {
+        std::exponential_distribution<double> pick{1 / mean_pause_ms};
+        return clock::duration{1 + std::lround(pick(random_))};
+    }
+
+    void schedule(clock::duration after, event_kind kind, int subject, int other = 0) {
+        events_.push({.at = now_ + after, .kind = kind, .subject = subject, .other = other});
+    }
+
+    void handle(const event& next) {
+        switch (next.kind) {
+            case event_kind::ask:
+                callers_[static_cast<std::size_t>(next.subject)].asked = now_;
+                callers_[static_cast<std::size_t>(next.subject)].tries = 0;
+                ++asked_;
+                ask(next.subject);
+                break;
+            case event_kind::opened:
+                send_request(next.subject);
+                break;
+            case event_kind::arrived:
+                arrive(next.subject);
+                break;
+            case event_kind::done:
+                finish(static_cast<std::size_t>(next.subject), next.other);
+                break;
+            case event_kind::digest:
+                exchange_digests();
+                schedule(digest_interval, event_kind::digest, 0);
+                break;
+        }
+    }
+
+    steering::decision deliver(const caller& by, const steering::segment& content) {
+        return instances_[by.instance].core->on_segment(
+            content, {.is_complete = true, .is_stopping = false, .confirmed = now_}, now_);
+    }
+
+    void ask(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        if (++subject.tries > most_tries) {
+            ++failed_;
+            schedule(pause(), event_kind::ask, index);
+            return;
+        }
+        if (subject.has_flow) {
+            send_request(index);
+            return;
+        }
+        subject.last = {};
+        // Each flow has a port of its own; the address changes when they have all been used.
+        ++next_port_;
+        next_address_ += next_port_ == 0 ? 1 : 0;
+        subject.last.flow.caller = {.address = next_address_, .port = next_port_};
+        subject.last.flow.route = {.address = 1, .port = 443};
+        subject.last.is_opening = true;
+        subject.instance = random_() % instances_.size();
+        const auto made = deliver(subject, subject.last);
+        if (const auto* forwarded = std::get_if<steering::forward>(&made)) {
+            subject.host = host_of_.at(forwarded->to->token);
+            subject.last.is_opening = false;
+            subject.last.token = forwarded->to->token;
+            subject.last.acknowledged = 1;
+            subject.has_flow = true;
+            schedule(network, event_kind::opened, index);
+        } else {
+            const bool is_refused = std::holds_alternative<steering::refuse>(made);
+            schedule(is_refused ? network : opening_copy, event_kind::opened, index);
+        }
+    }
+
+    void send_request(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        if (!subject.has_flow) {
+            ask(index);
+            return;
+        }
+        subject.last.length = request_size;
+        deliver(subject, subject.last);
+        subject.last.sequence += request_size;
+        schedule(network / 2, event_kind::arrived, index);
+    }
+
+    void arrive(int index) {
+        const auto number = callers_[static_cast<std::size_t>(index)].host;
+        auto& at = hosts_[number];
+        if (at.running < pattern_.slots) {
+            begin(number, index);
+        } else if (at.waiting.size() < static_cast<std::size_t>(pattern_.queue)) {
+            at.waiting.push_back(index);
+        } else {
+            ++shed_;
+            close(index);
+            schedule(network / 2, event_kind::opened, index);
+        }
+    }
+
+    void begin(std::size_t number, int index) {
+        auto& at = hosts_[number];
+        ++at.running;
+        std::lognormal_distribution<double> work{
+            std::log(pattern_.work_ms) - work_spread * work_spread / 2, work_spread};
+        const clock::duration took{1 + std::lround(work(random_) * at.factor)};
+        schedule(took, event_kind::done, static_cast<int>(number), index);
+    }
+
+    void finish(std::size_t number, int index) {
+        auto& at = hosts_[number];
+        --at.running;
+        if (!at.waiting.empty()) {
+            const int next = at.waiting.front();
+            at.waiting.pop_front();
+            begin(number, next);
+        }
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        subject.last.length = 0;
+        subject.last.acknowledged += request_size;
+        deliver(subject, subject.last);
+        ++(now_ - subject.asked <= pattern_.objective ? in_time_ : late_);
+        schedule(pause(), event_kind::ask, index);
+    }
+
+    // A target that turns a request away closes the flow, and its caller tries another one.
+    void close(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        subject.last.length = 0;
+        subject.last.is_closing = true;
+        deliver(subject, subject.last);
+        subject.has_flow = false;
+    }
+
+    void exchange_digests() {
+        for (auto& each : instances_) {
+            each.core->expire(now_);
+        }
+        if (!choice_.shares_loads) {
+            return;
+        }
+        for (std::size_t from = 0; from < instances_.size(); ++from) {
+            wire::digest content;
+            content.loads =
+                instances_[from].digests->loads_of(instances_[from].core->flows(), now_);
+            for (std::size_t to = 0; to < instances_.size(); ++to) {
+                if (to != from) {
+                    instances_[to].digests->on_digest(name_of(static_cast<int>(from)), content,
+                                                      now_);
+                }
+            }
+        }
+    }
+
+    overload_pattern pattern_;
+    overload_choice choice_;
+    std::mt19937_64 random_;
+    clock::time_point now_ = epoch;
+    discovery::directory known_;
+    quiet_log log_;
+    no_observer observer_;
+    std::vector<instance> instances_;
+    std::vector<host> hosts_;
+    std::vector<caller> callers_;
+    std::map<discovery::routing_token, std::size_t> host_of_;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::uint16_t next_port_ = 0;
+    std::uint32_t next_address_ = 2;
+    int asked_ = 0;
+    int in_time_ = 0;
+    int late_ = 0;
+    int failed_ = 0;
+    int shed_ = 0;
+};
+
+}  // namespace
+
+std::vector<overload_pattern> all_overload_patterns() {
+    return {
+        {.name = "steer_usual", .plays = "a third of what the targets bear", .load = 0.33},
+        {.name = "steer_full", .plays = "nine tenths of what the targets bear", .load = 0.9},
+        {.name = "steer_2x", .plays = "twice what the targets bear", .load = 2},
+        {.name = "steer_5x", .plays = "five times what the targets bear", .load = 5},
+        {.name = "steer_slow",
+         .plays = "all they bear, and three targets of ten take five times as long",
+         .load = 0.9,
+         .slow_share = 0.3},
+        {.name = "steer_long_work",
+         .plays = "work that takes longer than its objective, half of what the targets bear",
+         .load = 0.5,
+         .work_ms = 150},
+    };
+}
+
+std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
+                                  std::uint64_t seed) {
+    return overload_run{pattern, choice, seed}.run();
+}
+
+}  // namespace bramleytrack::experiments
--- /dev/null
+++ b/services/bramleybench/overload_experiment.h
@@ -0,0 +1,39 @@
+// Plays more callers than targets bear against instances that route by token: real decisions,
+// packet by packet, and small models of targets and callers around them.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "summary.h"
+
+namespace bramleytrack::experiments {
+
+struct overload_pattern {
+    std::string_view name;
+    std::string_view plays;
+    double load = 1;        // work offered, as a multiple of what all targets can do
+    double slow_share = 0;  // of the targets take five times as long
+    int instances = 8;
+    int targets = 14;
+    int slots = 2;
+    int queue = 8;        // beyond it a target turns requests away
+    double work_ms = 22;  // mean, with a spread of one half
+    clock::duration objective{120};
+    clock::duration length{12'000};
+};
+
+struct overload_choice {
+    bool has_limit = true;     // steering::concurrency_limit
+    bool shares_loads = true;  // digests of peers
+};
+
+std::vector<overload_pattern> all_overload_patterns();
+
+// "in time" is the share of requests answered within the objective, counted from the first try.
+std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
+                                  std::uint64_t seed);
+
+}  // namespace bramleytrack::experiments
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -73,8 +73,8 @@
 }
 
 TEST_F(http_exchange, gives_up_on_an_answer_that_does_not_come) {
-    // A lost answer on a connection that stays open: without a limit of its own the caller would wait
-    // for good.
+    // A lost answer on a connection that stays open: without a limit of its own the caller would
+    // wait for good.
     const net::http_server server{loop_, address_,
                                   [](const net::http_request&, const net::http_responder&) {}};
     const auto before = clock::now();
--- a/tests/log_output_test.cpp
+++ b/tests/log_output_test.cpp
@@ -43,7 +43,8 @@
 };
 
 TEST(log_output, does_not_block_when_nobody_reads_it) {
-    // The collector hangs. A blocking write would stop the loop, and with it every caller's packets.
+    // The collector hangs. A blocking write would stop the loop, and with it every caller's
+    // packets.
     std::int64_t lost = 0;
     std::chrono::steady_clock::duration took{};
     {
--- /dev/null
+++ b/tests/steering_overload_test.cpp
@@ -0,0 +1,66 @@
+// Steering under more load than the targets bear, replayed packet by packet through the real
+// decisions.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "overload_experiment.h"
+
+namespace bramleytrack {
+namespace {
+
+using experiments::overload_choice;
+using experiments::overload_pattern;
+
+std::map<std::string, double> figures(std::string_view name, const overload_choice& choice) {
+    std::map<std::string, double> result;
+    for (const auto& pattern : experiments::all_overload_patterns()) {
+        if (pattern.name != name) {
+            continue;
+        }
+        for (const auto& each : experiments::play_overload(pattern, choice, 1)) {
+            result[each.name] = each.value;
+        }
+    }
+    return result;
+}
+
+constexpr overload_choice without_limit{.has_limit = false, .shares_loads = true};
+
+TEST(steering_overload, at_five_times_the_load_most_that_can_be_served_is_in_time) {
+    // Everybody comes at once. Without a limit all queues are full, and half of the answers are late
+    // though the targets are never idle. They bear a fifth of what is asked.
+    const double with = figures("steer_5x", {}).at("in time");
+    EXPECT_GT(with, 0.14);
+    EXPECT_GT(with, 1.4 * figures("steer_5x", without_limit).at("in time"));
+}
+
+TEST(steering_overload, at_twice_the_load_two_fifths_are_in_time) {
+    // They bear a half of what is asked.
+    const double with = figures("steer_2x", {}).at("in time");
+    EXPECT_GT(with, 0.40);
+    EXPECT_GT(with, 1.25 * figures("steer_2x", without_limit).at("in time"));
+}
+
+TEST(steering_overload, nobody_is_turned_away_on_an_ordinary_day) {
+    const auto usual = figures("steer_usual", {});
+    EXPECT_EQ(usual.at("failed"), 0);
+    EXPECT_GT(usual.at("in time"), 0.99);
+    EXPECT_LT(figures("steer_full", {}).at("failed"), 0.001);
+}
+
+TEST(steering_overload, flows_avoid_targets_that_have_turned_slow) {
+    // Three targets of ten take five times as long, while the others have just room for their work.
+    EXPECT_GT(figures("steer_slow", {}).at("in time"),
+              figures("steer_slow", without_limit).at("in time"));
+    EXPECT_GT(figures("steer_slow", {}).at("in time"), 0.8);
+}
+
+TEST(steering_overload, work_that_is_always_late_is_still_done) {
+    // The objective is shorter than the work. Refusing callers because every answer is late would
+    // leave the targets idle.
+    EXPECT_LT(figures("steer_long_work", {}).at("failed"), 0.01);
+}
+
+}  // namespace
+}  // namespace bramleytrack
