Steering: Give decisions and their log lines files of their own; share what stood twice

Cause: steering.cpp held decisions and their log lines, the daemon described records, both settings parsers and both metrics had the same lines. Now decision.h, decision_log, belief_log (one overload a record), settings_text and gauges. Openings are counted in the metrics for the service that they went to, not the first of their route.

--- a/libraries/observability/metrics.cpp
+++ b/libraries/observability/metrics.cpp
@@ -1,14 +1,14 @@
 #include "observability/metrics.h"
 
-#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 #include <array>
 #include <map>
 #include <set>
 
+#include "observability/gauges.h"
+
 namespace bramleytrack::observability {
 namespace {
 
@@ -34,43 +34,38 @@
     }
 }
 
-// A gauge that is read off the state when the metrics are asked for.
-struct gauge_description {
-    const char* name;
-    const char* help;
-    double (*read)(const context&);
-};
-
 double as_double(std::int64_t value) {
     return static_cast<double>(value);
 }
 
 constexpr std::array gauges{
-    gauge_description{
+    gauge_description<context>{
         "bramleytrack_packets_from_callers", "packets that the fabric handed to this instance",
         [](const context& state) { return as_double(state.counts.packets_from_callers); }},
-    gauge_description{
+    gauge_description<context>{
         "bramleytrack_packets_forwarded", "packets passed on to another instance",
         [](const context& state) { return as_double(state.counts.packets_forwarded); }},
-    gauge_description{
+    gauge_description<context>{
         "bramleytrack_packets_from_targets", "packets that targets sent to this instance",
         [](const context& state) { return as_double(state.counts.packets_from_targets); }},
-    gauge_description{"bramleytrack_packets_dropped",
-                      "packets dropped; the log gives the result code",
-                      [](const context& state) { return as_double(state.counts.dropped); }},
-    gauge_description{"bramleytrack_flows_recovered",
-                      "flows found again after a crash of their owner",
-                      [](const context& state) { return as_double(state.counts.flows_recovered); }},
-    gauge_description{
+    gauge_description<context>{
+        "bramleytrack_packets_dropped", "packets dropped; the log gives the result code",
+        [](const context& state) { return as_double(state.counts.dropped); }},
+    gauge_description<context>{
+        "bramleytrack_flows_recovered", "flows found again after a crash of their owner",
+        [](const context& state) { return as_double(state.counts.flows_recovered); }},
+    gauge_description<context>{
         "bramleytrack_targets_owned", "targets that this instance owns",
         [](const context& state) { return static_cast<double>(state.ownership.owned().size()); }},
-    gauge_description{"bramleytrack_flows", "flow records held",
-                      [](const context& state) { return static_cast<double>(state.flows.size()); }},
-    gauge_description{
+    gauge_description<context>{
+        "bramleytrack_flows", "flow records held",
+        [](const context& state) { return static_cast<double>(state.flows.size()); }},
+    gauge_description<context>{
         "bramleytrack_requests", "request records held",
         [](const context& state) { return static_cast<double>(state.requests.size()); }},
-    gauge_description{"bramleytrack_configuration_version", "version of the configuration in force",
-                      [](const context& state) { return as_double(state.configuration.version); }},
+    gauge_description<context>{
+        "bramleytrack_configuration_version", "version of the configuration in force",
+        [](const context& state) { return as_double(state.configuration.version); }},
 };
 
 }  // namespace
@@ -116,15 +111,7 @@
 
 std::string metrics::render(const context& state) {
     auto& self = *implementation_;
-    for (const auto& each : gauges) {
-        prometheus::BuildGauge()
-            .Name(each.name)
-            .Help(each.help)
-            .Register(self.registry)
-            .Add({})
-            .Set(each.read(state));
-    }
-    return prometheus::TextSerializer{}.Serialize(self.registry.Collect());
+    return render_registry<context>(self.registry, gauges, state);
 }
 
 }  // namespace bramleytrack::observability
--- a/libraries/observability/steering_metrics.cpp
+++ b/libraries/observability/steering_metrics.cpp
@@ -1,14 +1,14 @@
 #include "observability/steering_metrics.h"
 
 #include <prometheus/counter.h>
-#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 #include <array>
 #include <map>
 
+#include "observability/gauges.h"
+
 namespace bramleytrack::observability {
 namespace {
 
@@ -21,43 +21,42 @@
     return seconds;
 }
 
-struct gauge_description {
-    const char* name;
-    const char* help;
-    double (*read)(const steering_gauges&);
-};
-
 template <auto member>
 double read_member(const steering_gauges& state) {
     return static_cast<double>(state.*member);
 }
 
 constexpr std::array gauges{
-    gauge_description{"bramleytrack_configuration_version", "version in force",
-                      &read_member<&steering_gauges::catalogue_version>},
-    gauge_description{"bramleytrack_store_revision", "newest revision of the store that is known",
-                      &read_member<&steering_gauges::store_revision>},
-    gauge_description{"bramleytrack_confirmed_ms_ago",
-                      "age of the newest word that what is known is still true; -1 is never",
-                      &read_member<&steering_gauges::confirmed_ms_ago>},
-    gauge_description{"bramleytrack_targets", "targets known, with those that ended lately",
-                      &read_member<&steering_gauges::targets>},
-    gauge_description{"bramleytrack_zones_out", "availability zones taken out",
-                      &read_member<&steering_gauges::zones_out>},
-    gauge_description{"bramleytrack_peers", "instances registered",
-                      &read_member<&steering_gauges::peers>},
-    gauge_description{"bramleytrack_flows", "flows seen here and not closed",
-                      &read_member<&steering_gauges::flows>},
-    gauge_description{"bramleytrack_store_calls", "calls made to the store",
-                      &read_member<&steering_gauges::store_calls>},
-    gauge_description{"bramleytrack_lost_log_lines", "lines left out: the output wasn't read",
-                      &read_member<&steering_gauges::lost_log_lines>},
-    gauge_description{"bramleytrack_malformed_datagrams", "datagrams that couldn't be decoded",
-                      &read_member<&steering_gauges::malformed_datagrams>},
-    gauge_description{"bramleytrack_store_reachable", "1 while the store answers",
-                      &read_member<&steering_gauges::is_store_reachable>},
-    gauge_description{"bramleytrack_ready", "1 while new flows are wanted here",
-                      &read_member<&steering_gauges::is_ready>},
+    gauge_description<steering_gauges>{"bramleytrack_configuration_version", "version in force",
+                                       &read_member<&steering_gauges::catalogue_version>},
+    gauge_description<steering_gauges>{"bramleytrack_store_revision",
+                                       "newest revision of the store that is known",
+                                       &read_member<&steering_gauges::store_revision>},
+    gauge_description<steering_gauges>{
+        "bramleytrack_confirmed_ms_ago",
+        "age of the newest word that what is known is still true; -1 is never",
+        &read_member<&steering_gauges::confirmed_ms_ago>},
+    gauge_description<steering_gauges>{"bramleytrack_targets",
+                                       "targets known, with those that ended lately",
+                                       &read_member<&steering_gauges::targets>},
+    gauge_description<steering_gauges>{"bramleytrack_zones_out", "availability zones taken out",
+                                       &read_member<&steering_gauges::zones_out>},
+    gauge_description<steering_gauges>{"bramleytrack_peers", "instances registered",
+                                       &read_member<&steering_gauges::peers>},
+    gauge_description<steering_gauges>{"bramleytrack_flows", "flows seen here and not closed",
+                                       &read_member<&steering_gauges::flows>},
+    gauge_description<steering_gauges>{"bramleytrack_store_calls", "calls made to the store",
+                                       &read_member<&steering_gauges::store_calls>},
+    gauge_description<steering_gauges>{"bramleytrack_lost_log_lines",
+                                       "lines left out: the output wasn't read",
+                                       &read_member<&steering_gauges::lost_log_lines>},
+    gauge_description<steering_gauges>{"bramleytrack_malformed_datagrams",
+                                       "datagrams that couldn't be decoded",
+                                       &read_member<&steering_gauges::malformed_datagrams>},
+    gauge_description<steering_gauges>{"bramleytrack_store_reachable", "1 while the store answers",
+                                       &read_member<&steering_gauges::is_store_reachable>},
+    gauge_description<steering_gauges>{"bramleytrack_ready", "1 while new flows are wanted here",
+                                       &read_member<&steering_gauges::is_ready>},
 };
 
 std::string outcome_of(const steering::decision& made) {
@@ -125,15 +124,7 @@
 
 std::string steering_metrics::render(const steering_gauges& state) {
     auto& self = *implementation_;
-    for (const auto& each : gauges) {
-        prometheus::BuildGauge()
-            .Name(each.name)
-            .Help(each.help)
-            .Register(self.registry)
-            .Add({})
-            .Set(each.read(state));
-    }
-    return prometheus::TextSerializer{}.Serialize(self.registry.Collect());
+    return render_registry<steering_gauges>(self.registry, gauges, state);
 }
 
 }  // namespace bramleytrack::observability
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-#include "configuration/json_shape.h"
+#include "settings/settings_text.h"
 
 namespace bramleytrack::settings {
 namespace {
@@ -12,26 +12,12 @@
 using configuration::fault;
 using json = nlohmann::json;
 
-constexpr std::size_t max_settings_size = 65'536;
-constexpr std::size_t max_name_length = 64;
-// Shorter ones can be tried out by a stranger who has seen one datagram.
-constexpr std::size_t min_passphrase_length = 12;
-
-bool is_name(std::string_view text) {
-    return text.size() <= max_name_length &&
-           text.find_first_of(" \"\\/\n\t") == std::string_view::npos;
-}
-
 bool is_url(std::string_view text) {
     return (text.starts_with("http://") || text.starts_with("https://")) &&
            text.find_first_of(" \"\\\n\t") == std::string_view::npos && text.find('.') != 0 &&
            text.size() > std::string_view{"https://"}.size();
 }
 
-bool is_passphrase(std::string_view text) {
-    return text.size() >= min_passphrase_length;
-}
-
 struct key {
     std::string_view name;
     std::string instance_settings::*member;
@@ -90,39 +76,17 @@
     }
     std::vector<std::string_view> names;
     std::ranges::transform(keys, std::back_inserter(names), &key::name);
-    for (const auto& [name, value] : root.items()) {
-        if (std::ranges::find(names, name) == names.end()) {
-            faults.push_back({.line = 0,
-                              .path = "/" + name,
-                              .message = configuration::unknown_key(name, names)});
-        }
-    }
+    std::ranges::move(unknown_keys(root, names), std::back_inserter(faults));
     return faults;
 }
 
 }  // namespace
 
 settings_result parse_settings(std::string_view text) {
-    if (text.size() > max_settings_size) {
-        return std::vector<fault>{
-            {.line = 0, .path = "", .message = "settings are at most 65536 bytes"}};
-    }
-    const configuration::json_shape shape{text};
-    auto faults = shape.faults();
-    if (!shape.is_whole()) {
-        return faults;
-    }
-    const auto root = json::parse(text, nullptr, false, true);
-    if (!root.is_object()) {
-        return std::vector<fault>{{.line = 1, .path = "", .message = "expected a JSON object"}};
-    }
     instance_settings result;
-    for (auto& each : read_keys(root, result)) {
-        each.line = shape.line_of(each.path);
-        faults.push_back(std::move(each));
-    }
+    auto faults =
+        read_settings_text(text, [&result](const json& root) { return read_keys(root, result); });
     if (!faults.empty()) {
-        std::ranges::stable_sort(faults, {}, &fault::line);
         return faults;
     }
     return result;
--- /dev/null
+++ b/libraries/settings/settings_text.cpp
@@ -0,0 +1,62 @@
+#include "settings/settings_text.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "configuration/json_shape.h"
+
+namespace bramleytrack::settings {
+namespace {
+
+using configuration::fault;
+using nlohmann::json;
+
+constexpr std::size_t max_settings_size = 65'536;
+constexpr std::size_t max_name_length = 64;
+constexpr std::size_t min_passphrase_length = 12;
+
+}  // namespace
+
+std::vector<fault> read_settings_text(std::string_view text, const keys_reader& read_keys) {
+    if (text.size() > max_settings_size) {
+        return {{.line = 0, .path = "", .message = "settings are at most 65536 bytes"}};
+    }
+    const configuration::json_shape shape{text};
+    auto faults = shape.faults();
+    if (!shape.is_whole()) {
+        return faults;
+    }
+    const auto root = json::parse(text, nullptr, false, true);
+    if (!root.is_object()) {
+        return {{.line = 1, .path = "", .message = "expected a JSON object"}};
+    }
+    for (auto& each : read_keys(root)) {
+        each.line = shape.line_of(each.path);
+        faults.push_back(std::move(each));
+    }
+    std::ranges::stable_sort(faults, {}, &fault::line);
+    return faults;
+}
+
+std::vector<fault> unknown_keys(const json& root, std::span<const std::string_view> known) {
+    std::vector<fault> faults;
+    for (const auto& [name, value] : root.items()) {
+        if (std::ranges::find(known, name) == known.end()) {
+            faults.push_back({.line = 0,
+                              .path = "/" + name,
+                              .message = configuration::unknown_key(name, known)});
+        }
+    }
+    return faults;
+}
+
+bool is_name(std::string_view text) {
+    return !text.empty() && text.size() <= max_name_length &&
+           text.find_first_of(" \"\\/\n\t") == std::string_view::npos;
+}
+
+bool is_passphrase(std::string_view text) {
+    return text.size() >= min_passphrase_length;
+}
+
+}  // namespace bramleytrack::settings
--- /dev/null
+++ b/libraries/settings/settings_text.h
@@ -0,0 +1,33 @@
+// What all settings have in common: JSON with comments, checked whole, each fault with its line.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "configuration/fault.h"
+
+namespace bramleytrack::settings {
+
+// Reads the keys of one kind of settings and returns their faults, without lines.
+using keys_reader = std::function<std::vector<configuration::fault>(const nlohmann::json& root)>;
+
+// All faults of the text, in the order of its lines; empty when `read_keys` has read valid
+// settings.
+std::vector<configuration::fault> read_settings_text(std::string_view text,
+                                                     const keys_reader& read_keys);
+
+// A fault for each key of `root` that isn't among `known`.
+std::vector<configuration::fault> unknown_keys(const nlohmann::json& root,
+                                               std::span<const std::string_view> known);
+
+// A name of an instance or zone: not empty, at most 64 characters, none that a log line would
+// quote.
+bool is_name(std::string_view text);
+
+// Shorter ones can be tried out by a stranger who has seen one datagram.
+bool is_passphrase(std::string_view text);
+
+}  // namespace bramleytrack::settings
--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "configuration/json_shape.h"
+#include "settings/settings_text.h"
 
 namespace bramleytrack::settings {
 namespace {
@@ -13,21 +13,9 @@
 using configuration::fault;
 using nlohmann::json;
 
-constexpr std::size_t max_settings_size = 65'536;
-constexpr std::size_t max_name_length = 64;
-constexpr std::size_t min_passphrase_length = 12;
 constexpr double milliseconds_per_second = 1000.0;
 constexpr double longest_seconds = 3600.0;
 
-bool is_name(std::string_view text) {
-    return !text.empty() && text.size() <= max_name_length &&
-           text.find_first_of(" \"\\/\n\t") == std::string_view::npos;
-}
-
-bool is_passphrase(std::string_view text) {
-    return text.size() >= min_passphrase_length;
-}
-
 struct text_key {
     std::string_view name;
     std::string steering_settings::*member;
@@ -138,39 +126,17 @@
     if (!read_seeds(root, result)) {
         faults.push_back(expected(seeds_key, "a list of numeric ip:port, which may be empty"));
     }
-    for (const auto& [name, value] : root.items()) {
-        if (std::ranges::find(names, name) == names.end()) {
-            faults.push_back({.line = 0,
-                              .path = "/" + name,
-                              .message = configuration::unknown_key(name, names)});
-        }
-    }
+    std::ranges::move(unknown_keys(root, names), std::back_inserter(faults));
     return faults;
 }
 
 }  // namespace
 
 steering_settings_result parse_steering_settings(std::string_view text) {
-    if (text.size() > max_settings_size) {
-        return std::vector<fault>{
-            {.line = 0, .path = "", .message = "settings are at most 65536 bytes"}};
-    }
-    const configuration::json_shape shape{text};
-    auto faults = shape.faults();
-    if (!shape.is_whole()) {
-        return faults;
-    }
-    const auto root = json::parse(text, nullptr, false, true);
-    if (!root.is_object()) {
-        return std::vector<fault>{{.line = 1, .path = "", .message = "expected a JSON object"}};
-    }
     steering_settings result;
-    for (auto& each : read_keys(root, result)) {
-        each.line = shape.line_of(each.path);
-        faults.push_back(std::move(each));
-    }
+    auto faults =
+        read_settings_text(text, [&result](const json& root) { return read_keys(root, result); });
     if (!faults.empty()) {
-        std::ranges::stable_sort(faults, {}, &fault::line);
         return faults;
     }
     return result;
--- /dev/null
+++ b/libraries/steering/decision_log.cpp
@@ -0,0 +1,110 @@
+#include "steering/decision_log.h"
+
+#include <cmath>
+
+namespace bramleytrack::steering {
+namespace {
+
+std::int64_t age_of(clock::time_point since, clock::time_point now) {
+    return since == clock::time_point{} ? -1 : (now - since).count();
+}
+
+std::string_view name_of_decision(const decision& made) {
+    if (std::holds_alternative<forward>(made)) {
+        return "forward";
+    }
+    return std::holds_alternative<refuse>(made) ? "refuse" : "drop";
+}
+
+// Which flow a line is about: both ends, and the opening sequence number where it is known.
+log_event flow_event(std::string_view name, const flow_key& flow) {
+    log_event event{name};
+    event.with("caller", to_string(flow.caller)).with("route_address", to_string(flow.route));
+    return event;
+}
+
+}  // namespace
+
+result_code reason_of(const decision& made) {
+    if (const auto* refused = std::get_if<refuse>(&made)) {
+        return refused->reason;
+    }
+    const auto* dropped = std::get_if<drop>(&made);
+    return dropped != nullptr ? dropped->reason : result_code::ok;
+}
+
+void decision_log::opening(const segment& content, const belief& state,
+                           const discovery::route* route, const decision& made,
+                           std::size_t candidates, clock::time_point now) {
+    if (!log_.admits(log_kind::opening, now)) {
+        return;
+    }
+    auto event = flow_event("opening", content.flow);
+    event.with("sequence", content.sequence)
+        .with("copy", content.copy)
+        .with("decision", name_of_decision(made))
+        .with("reason", name_of(reason_of(made)))
+        .with("route", route == nullptr ? std::string{"none"} : route->name)
+        .with("version", known_.in_force().version)
+        .with("confirmed_ms_ago", age_of(state.confirmed, now))
+        .with("candidates", static_cast<std::int64_t>(candidates));
+    if (const auto* chosen = std::get_if<forward>(&made)) {
+        const auto& signs = flows_.signs(chosen->to->token);
+        event.with("target", chosen->to->entry.id)
+            .with("target_zone", chosen->to->entry.zone)
+            .with("target_revision", chosen->to->revision)
+            .with("target_age_ms", age_of(chosen->to->changed_at, now))
+            .with("open_requests", signs.open_requests);
+    }
+    log_.write(event);
+}
+
+void decision_log::packet(const segment& content, const decision& made, clock::time_point now) {
+    if (!log_.admits(log_kind::delivery, now)) {
+        return;
+    }
+    const auto* target = known_.find_target(content.token);
+    auto event = flow_event("packet", content.flow);
+    event.with("sequence", content.sequence)
+        .with("acknowledged", content.acknowledged)
+        .with("token", content.token)
+        .with("target", target == nullptr ? std::string{"unknown"} : target->entry.id)
+        .with("decision", name_of_decision(made))
+        .with("reason", name_of(reason_of(made)))
+        .with("version", known_.in_force().version);
+    log_.write(event);
+}
+
+void decision_log::unanswered(const segment& content, clock::time_point now) {
+    const auto* flow = flows_.find(content.flow);
+    const auto* target = flow == nullptr ? nullptr : known_.find_target(flow->token);
+    if (target == nullptr || flow->is_established || !log_.admits(log_kind::answer, now)) {
+        return;
+    }
+    auto event = flow_event("unanswered", content.flow);
+    event.with("sequence", content.sequence)
+        .with("copy", content.copy)
+        .with("target", target->entry.id)
+        .with("after_ms", (now - flow->seen_at).count())
+        .with("target_answered_ms_ago", age_of(flows_.signs(target->token).answered_at, now));
+    log_.write(event);
+}
+
+void decision_log::answer(const segment& content, const discovery::target& target,
+                          clock::duration objective, clock::duration took, clock::time_point now) {
+    const bool is_late = objective > clock::duration{0} && took > objective;
+    if (!is_late || !log_.admits(log_kind::answer, now)) {
+        return;
+    }
+    const auto& signs = flows_.signs(target.token);
+    auto event = flow_event("late_answer", content.flow);
+    event.with("target", target.entry.id)
+        .with("took_ms", took.count())
+        .with("objective_ms", objective.count())
+        .with("open_requests", signs.open_requests)
+        .with("usual_ms", std::llround(signs.answer_ms))
+        .with("target_age_ms", age_of(target.changed_at, now));
+    log_.write(event);
+}
+
+}  // namespace bramleytrack::steering
--- /dev/null
+++ b/libraries/steering/decision_log.h
@@ -0,0 +1,36 @@
+// The log lines of decisions about packets: what was decided, by which inputs, and how old those
+// were.
+//
+// Whoever looks for the cause of a failed request has only these lines, see docs/OPERATIONS.md.
+#pragma once
+
+#include "base/event_log.h"
+#include "discovery/directory.h"
+#include "steering/decision.h"
+#include "steering/flow_watch.h"
+
+namespace bramleytrack::steering {
+
+class decision_log {
+public:
+    decision_log(event_log& log, const discovery::directory& known, const flow_watch& flows)
+        : log_{log}, known_{known}, flows_{flows} {}
+
+    // `candidates` targets could have taken the flow.
+    void opening(const segment& content, const belief& state, const discovery::route* route,
+                 const decision& made, std::size_t candidates, clock::time_point now);
+    // A later packet that wasn't forwarded.
+    void packet(const segment& content, const decision& made, clock::time_point now);
+    // A copy of an opening packet came: the target that was chosen before hasn't answered.
+    void unanswered(const segment& content, clock::time_point now);
+    // Nothing is written for an answer that met its objective.
+    void answer(const segment& content, const discovery::target& target, clock::duration objective,
+                clock::duration took, clock::time_point now);
+
+private:
+    event_log& log_;
+    const discovery::directory& known_;
+    const flow_watch& flows_;
+};
+
+}  // namespace bramleytrack::steering
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -1,7 +1,6 @@
 #include "steering/steering.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "base/hash.h"
 
@@ -12,30 +11,13 @@
     return bramleytrack::hash_of(flow_key_hash{}(content.flow), content.sequence);
 }
 
-std::int64_t age_of(clock::time_point since, clock::time_point now) {
-    return since == clock::time_point{} ? -1 : (now - since).count();
-}
-
-result_code reason_of(const decision& made) {
-    if (const auto* refused = std::get_if<refuse>(&made)) {
-        return refused->reason;
+// The service that an opening counts for in the metrics.
+std::string service_of(const discovery::route* route, const decision& made) {
+    if (const auto* forwarded = std::get_if<forward>(&made)) {
+        return forwarded->to->entry.service;
     }
-    const auto* dropped = std::get_if<drop>(&made);
-    return dropped != nullptr ? dropped->reason : result_code::ok;
-}
-
-std::string_view name_of_decision(const decision& made) {
-    if (std::holds_alternative<forward>(made)) {
-        return "forward";
-    }
-    return std::holds_alternative<refuse>(made) ? "refuse" : "drop";
-}
-
-// Which flow a line is about: both ends, and the opening sequence number where it is known.
-log_event flow_event(std::string_view name, const flow_key& flow) {
-    log_event event{name};
-    event.with("caller", to_string(flow.caller)).with("route_address", to_string(flow.route));
-    return event;
+    const bool is_split = route != nullptr && !route->splits.empty();
+    return is_split ? route->splits.front().service : "none";
 }
 
 // Failure: a target turns slow, and while it has little work it looks as good as any other. The
@@ -64,7 +46,7 @@
       known_{known},
       cold_{cold},
       loads_{loads},
-      log_{log},
+      log_{log, known, flows_},
       observer_{observer},
       limits_{limits} {}
 
@@ -81,7 +63,8 @@
 decision steering::on_opening(const segment& content, const belief& state, clock::time_point now) {
     const auto* route = known_.find_route(content.flow.route);
     const auto finish = [&](const decision& made, std::size_t candidates) {
-        log_opening(content, state, route, made, candidates, now);
+        observer_.on_decision(service_of(route, made), made);
+        log_.opening(content, state, route, made, candidates, now);
         return made;
     };
     if (!state.is_complete) {
@@ -97,7 +80,7 @@
                       0);
     }
     if (content.copy > 0) {
-        log_unanswered(content, now);
+        log_.unanswered(content, now);
         flows_.note_unanswered(content.flow, now);
     }
     const auto flow_hash = hash_of_flow(content);
@@ -128,7 +111,8 @@
 decision steering::on_later_packet(const segment& content, const belief& state,
                                    clock::time_point now) {
     const auto finish = [&](const decision& made) {
-        log_later(content, made, now);
+        observer_.on_decision("established", made);
+        log_.packet(content, made, now);
         return made;
     };
     if (is_left_by_its_route(content, state, now)) {
@@ -148,7 +132,7 @@
     }
     if (seen.is_answer) {
         observer_.on_answer(*target, seen.answer_took);
-        log_if_late(content, *target, objective, seen.answer_took, now);
+        log_.answer(content, *target, objective, seen.answer_took, now);
     }
     if (const auto reason = hopeless(*target, route, seen)) {
         return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged}, *reason});
@@ -263,83 +247,4 @@
     return result;
 }
 
-void steering::log_opening(const segment& content, const belief& state,
-                           const discovery::route* route, const decision& made,
-                           std::size_t candidates, clock::time_point now) {
-    const bool has_service = route != nullptr && !route->splits.empty();
-    const std::string service = has_service ? route->splits.front().service : "none";
-    observer_.on_decision(service, made);
-    if (!log_.admits(log_kind::opening, now)) {
-        return;
-    }
-    auto event = flow_event("opening", content.flow);
-    event.with("sequence", content.sequence)
-        .with("copy", content.copy)
-        .with("decision", name_of_decision(made))
-        .with("reason", name_of(reason_of(made)))
-        .with("route", route == nullptr ? std::string{"none"} : route->name)
-        .with("version", known_.in_force().version)
-        .with("confirmed_ms_ago", age_of(state.confirmed, now))
-        .with("candidates", static_cast<std::int64_t>(candidates));
-    if (const auto* chosen = std::get_if<forward>(&made)) {
-        const auto& signs = flows_.signs(chosen->to->token);
-        event.with("target", chosen->to->entry.id)
-            .with("target_zone", chosen->to->entry.zone)
-            .with("target_revision", chosen->to->revision)
-            .with("target_age_ms", age_of(chosen->to->changed_at, now))
-            .with("open_requests", signs.open_requests);
-    }
-    log_.write(event);
-}
-
-void steering::log_later(const segment& content, const decision& made, clock::time_point now) {
-    observer_.on_decision("established", made);
-    if (!log_.admits(log_kind::delivery, now)) {
-        return;
-    }
-    const auto* target = known_.find_target(content.token);
-    auto event = flow_event("packet", content.flow);
-    event.with("sequence", content.sequence)
-        .with("acknowledged", content.acknowledged)
-        .with("token", content.token)
-        .with("target", target == nullptr ? std::string{"unknown"} : target->entry.id)
-        .with("decision", name_of_decision(made))
-        .with("reason", name_of(reason_of(made)))
-        .with("version", known_.in_force().version);
-    log_.write(event);
-}
-
-// A copy of an opening packet came: the target that was chosen before hasn't answered.
-void steering::log_unanswered(const segment& content, clock::time_point now) {
-    const auto* flow = flows_.find(content.flow);
-    const auto* target = flow == nullptr ? nullptr : known_.find_target(flow->token);
-    if (target == nullptr || flow->is_established || !log_.admits(log_kind::answer, now)) {
-        return;
-    }
-    auto event = flow_event("unanswered", content.flow);
-    event.with("sequence", content.sequence)
-        .with("copy", content.copy)
-        .with("target", target->entry.id)
-        .with("after_ms", (now - flow->seen_at).count())
-        .with("target_answered_ms_ago", age_of(flows_.signs(target->token).answered_at, now));
-    log_.write(event);
-}
-
-void steering::log_if_late(const segment& content, const discovery::target& target,
-                           clock::duration objective, clock::duration took, clock::time_point now) {
-    const bool is_late = objective > clock::duration{0} && took > objective;
-    if (!is_late || !log_.admits(log_kind::answer, now)) {
-        return;
-    }
-    const auto& signs = flows_.signs(target.token);
-    auto event = flow_event("late_answer", content.flow);
-    event.with("target", target.entry.id)
-        .with("took_ms", took.count())
-        .with("objective_ms", objective.count())
-        .with("open_requests", signs.open_requests)
-        .with("usual_ms", std::llround(signs.answer_ms))
-        .with("target_age_ms", age_of(target.changed_at, now));
-    log_.write(event);
-}
-
 }  // namespace bramleytrack::steering
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -16,36 +16,14 @@
 #include "base/result_code.h"
 #include "discovery/directory.h"
 #include "steering/cold_gate.h"
+#include "steering/decision.h"
+#include "steering/decision_log.h"
 #include "steering/flow_watch.h"
 #include "steering/placement.h"
 #include "steering/segment.h"
 
 namespace bramleytrack::steering {
 
-struct forward {
-    const discovery::target* to = nullptr;
-};
-
-// The caller learns at once that this flow leads nowhere.
-struct refuse {
-    reset answer;
-    result_code reason = result_code::ok;
-};
-
-// Nothing is said: the caller sends again, and another instance or a moment later may know more.
-struct drop {
-    result_code reason = result_code::ok;
-};
-
-using decision = std::variant<forward, refuse, drop>;
-
-// How far the instance trusts what it knows when a packet arrives.
-struct belief {
-    bool is_complete = false;  // the store, or a peer, has told everything once
-    bool is_stopping = false;
-    clock::time_point confirmed;  // what the directory holds was true then
-};
-
 struct steering_limits {
     // A route that isn't known may have been added since: callers are refused only on word that is
     // younger than the bound for a change of the configuration.
@@ -109,21 +87,15 @@
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
     capacity capacity_of(const discovery::target& target) const;
-    void log_opening(const segment& content, const belief& state, const discovery::route* route,
-                     const decision& made, std::size_t candidates, clock::time_point now);
-    void log_unanswered(const segment& content, clock::time_point now);
-    void log_if_late(const segment& content, const discovery::target& target,
-                     clock::duration objective, clock::duration took, clock::time_point now);
-    void log_later(const segment& content, const decision& made, clock::time_point now);
 
     place place_;
     const discovery::directory& known_;
     cold_gate& cold_;
     const load_view& loads_;
-    event_log& log_;
+    flow_watch flows_;
+    decision_log log_;
     flow_observer& observer_;
     steering_limits limits_;
-    flow_watch flows_;
 };
 
 }  // namespace bramleytrack::steering
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "base/hash.h"
+#include "belief_log.h"
 #include "net/udp_endpoint.h"
 
 namespace bramleytrack {
@@ -220,44 +221,9 @@
                             clock::time_point now) {
     const bool is_store_suspect = sources_.is_store_suspect(feed_, suspicion, now);
     const auto outcome = directory_.apply(subject, revision, is_store_suspect, now);
-    log_change(subject, revision, outcome, now);
-}
-
-void steering_daemon::log_change(const discovery::record& subject, std::int64_t revision,
-                                 discovery::change outcome, clock::time_point now) {
-    if (outcome == discovery::change::none || !log_.admits(log_kind::belief, now)) {
-        return;
-    }
-    log_event event{outcome == discovery::change::applied ? "learned" : "left_out"};
-    event.with("revision", revision);
-    if (const auto* text = std::get_if<discovery::catalogue>(&subject)) {
-        event.with("what", "configuration")
-            .with("version", text->version)
-            .with("routes", static_cast<std::int64_t>(text->routes.size()));
-    } else if (const auto* target = std::get_if<discovery::target_entry>(&subject)) {
-        event.with("what", "target")
-            .with("target", target->id)
-            .with("service", target->service)
-            .with("target_zone", target->zone)
-            .with("address", to_string(target->address))
-            .with("state",
-                  target->state == discovery::target_state::draining ? "draining" : "ready")
-            .with("cold_for_ms", target->cold_for.count())
-            .with("born", target->born);
-    } else if (const auto* gone = std::get_if<discovery::target_removed>(&subject)) {
-        event.with("what", "target_removed").with("target", gone->id);
-    } else if (const auto* zone = std::get_if<discovery::zone_out>(&subject)) {
-        event.with("what", zone->is_out ? "zone_out" : "zone_back").with("zone", zone->zone);
-    } else if (const auto* peer = std::get_if<discovery::peer_entry>(&subject)) {
-        event.with("what", "peer").with("peer", peer->name).with("address", peer->address);
-    } else if (const auto* peer_gone = std::get_if<discovery::peer_removed>(&subject)) {
-        event.with("what", "peer_removed").with("peer", peer_gone->name);
-    } else if (const auto* unreadable = std::get_if<discovery::unreadable>(&subject)) {
-        event.with("what", name_of(result_code::unreadable_record))
-            .with("key", unreadable->key)
-            .with("reason", unreadable->reason);
+    if (outcome != discovery::change::none && log_.admits(log_kind::belief, now)) {
+        log_.write(describe(subject, revision, outcome));
     }
-    log_.write(event);
 }
 
 void steering_daemon::on_store_state(bool is_reachable, result_code reason, int attempts,
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -53,8 +53,6 @@
     void on_store_state(bool is_reachable, result_code reason, int attempts, clock::time_point now);
     void on_registration(bool is_held, result_code reason, clock::time_point now);
     void apply(const discovery::record& subject, std::int64_t revision, clock::time_point now);
-    void log_change(const discovery::record& subject, std::int64_t revision,
-                    discovery::change outcome, clock::time_point now);
     void send_forward(std::span<const std::uint8_t> datagram, const discovery::target& to);
     void send_reset(const steering::reset& wanted);
     void check_settings(clock::time_point now);
--- a/standins/flow_target/flow_target.cpp
+++ b/standins/flow_target/flow_target.cpp
@@ -19,6 +19,15 @@
            text_of(packet.destination, packet.destination_port);
 }
 
+flow_packet reply_to(const flow_packet& packet) {
+    flow_packet reply;
+    reply.source = packet.destination;
+    reply.source_port = packet.destination_port;
+    reply.destination = packet.source;
+    reply.destination_port = packet.source_port;
+    return reply;
+}
+
 std::uint64_t identity_of(const std::string& id) {
     constexpr int hexadecimal = 16;
     std::uint64_t result = 0;
@@ -148,11 +157,7 @@
 }
 
 void flow_target::send(flow& subject, const flow_packet& to, std::uint8_t flags, std::string data) {
-    flow_packet packet;
-    packet.source = to.destination;
-    packet.source_port = to.destination_port;
-    packet.destination = to.source;
-    packet.destination_port = to.source_port;
+    auto packet = reply_to(to);
     packet.echo = subject.echo;
     packet.sequence = subject.sequence;
     packet.acknowledged = subject.expected;
@@ -163,11 +168,7 @@
 }
 
 void flow_target::reply_reset(const flow_packet& to) {
-    flow_packet packet;
-    packet.source = to.destination;
-    packet.source_port = to.destination_port;
-    packet.destination = to.source;
-    packet.destination_port = to.source_port;
+    auto packet = reply_to(to);
     packet.sequence = to.acknowledged;
     packet.flags = flag_rst;
     transmit(packet);
