--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -1,5 +1,6 @@
 #include "steering_daemon.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include "base/hash.h"
@@ -14,12 +15,6 @@
 constexpr clock::duration tick_interval{100};
 // Settings may change without a signal; reading a small file once a second costs nothing.
 constexpr clock::duration settings_interval{1'000};
-// The fabric asks twice a second and takes an instance out after two misses; what is under way then
-// still arrives for a moment.
-constexpr clock::duration shortest_stop{1'500};
-constexpr clock::duration quiet_before_end{800};
-// What is left of the grace for ending in order.
-constexpr clock::duration stop_reserve{700};
 // A pause that long may have hidden changes, and the watch may be dead.
 constexpr clock::duration pause_to_read_anew{1'000};
 // Lapsed entries are back two seconds after the store; the same bound as
@@ -121,7 +116,7 @@
     }
     consult_peers(now);
     feed_.tick(now);
-    if (is_informed_ && !is_stopping_) {
+    if (is_informed_ && !stop_.is_begun()) {
         registration_.tick(now);
     }
     steering_.expire(now);
@@ -168,7 +163,7 @@
 
 steering::belief steering_daemon::belief() const {
     return {.is_complete = is_informed_ && directory_.has_catalogue(),
-            .is_stopping = is_stopping_,
+            .is_stopping = stop_.is_begun(),
             .confirmed = confirmed_at_};
 }
 
@@ -186,7 +181,7 @@
     exchange_.tick({.store_revision = mirror_.revision(),
                     .confirmed = confirmed_at_,
                     .has_lost_store = has_lost_store,
-                    .is_stopping = is_stopping_},
+                    .is_stopping = stop_.is_begun()},
                    steering_.flows(), now);
 }
 
@@ -249,7 +244,7 @@
     // it. One that still hears answers of targets stays: it may be all that its zone has.
     const bool hears_targets = now - steering_.flows().answered_at() <= target_silence;
     const bool is_cut_off = !hears_targets && sources_.is_isolated(feed_, now);
-    const bool is_ready = belief().is_complete && !is_stopping_ && !is_cut_off;
+    const bool is_ready = belief().is_complete && !stop_.is_begun() && !is_cut_off;
     if (is_ready == is_ready_) {
         return;
     }
@@ -261,30 +256,31 @@
 }
 
 void steering_daemon::on_terminate(ev::sig& /*watcher*/, int /*events*/) {
-    if (is_stopping_) {
+    if (stop_.is_begun()) {
         return;
     }
     const auto now = clock::now();
-    is_stopping_ = true;
-    stopping_since_ = now;
+    stop_.begin(now, others_in_zone());
     log_.write(log_event{"stopping"}.with("grace_ms", settings_.stop_grace.count()));
     registration_.end(now);
     update_readiness(now);
 }
 
 void steering_daemon::end_when_quiet(clock::time_point now) {
-    if (!is_stopping_) {
-        return;
-    }
-    const auto elapsed = now - stopping_since_;
-    const bool is_quiet = elapsed >= shortest_stop && now - packet_at_ >= quiet_before_end;
-    if (is_quiet || elapsed >= settings_.stop_grace - stop_reserve) {
-        log_.write(log_event{"stopped"}.with("after_ms", elapsed.count()));
+    if (stop_.may_end(now, packet_at_, others_in_zone(), settings_.stop_grace)) {
+        log_.write(log_event{"stopped"}.with("after_ms", stop_.elapsed(now).count()));
         observability::flush_log();
         loop_.break_loop(ev::ALL);
     }
 }
 
+std::size_t steering_daemon::others_in_zone() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(directory_.peers(), [this](const auto& each) {
+            return each.first != settings_.name && each.second.zone == settings_.zone;
+        }));
+}
+
 void steering_daemon::on_reload(ev::sig& /*watcher*/, int /*events*/) {
     next_settings_check_ = {};
     check_settings(clock::now());
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -12,6 +12,7 @@
 #include "discovery/registration.h"
 #include "fleet/peer_digests.h"
 #include "fleet/sources.h"
+#include "fleet/stop_plan.h"
 #include "net/http_server.h"
 #include "net/packet_socket.h"
 #include "observability/log.h"
@@ -58,6 +59,7 @@
     void check_settings(clock::time_point now);
     void update_readiness(clock::time_point now);
     void end_when_quiet(clock::time_point now);
+    std::size_t others_in_zone() const;
     steering::belief belief() const;
     std::string render_metrics() const;
 
@@ -85,12 +87,11 @@
     ev::sig terminate_;
     ev::sig reload_;
     clock::time_point next_settings_check_;
-    clock::time_point stopping_since_;
+    fleet::stop_plan stop_;
     clock::time_point packet_at_;     // last packet of a caller
     clock::time_point confirmed_at_;  // what the directory holds was all there was then
     std::int64_t malformed_ = 0;
     bool is_informed_ = false;  // the store, or a peer, has told everything once
-    bool is_stopping_ = false;
     bool is_ready_ = false;
 };
 
