--- a/meta/steering_fleet.sh
+++ b/meta/steering_fleet.sh
@@ -134,12 +134,22 @@
     curl_put "$store" "/remove?key=servers/i-a2" ""
 }
 
+# What the instances believe, as an operator would look at it.
+show_instances() {
+    local i addresses=()
+    for i in 1 2 3 4 5 6; do
+        addresses+=("127.0.1.$i:$metrics_port")
+    done
+    "$build/bramleyctl" --timeout-ms 1000 overview "${addresses[@]}" >&2 || say "instances differ"
+}
+
 run_steering_fleet() {
     say "starting a fleet that routes by token"
     start_steering_fleet
     start caller "$build/standin_flow_caller" --fleet "$workspace/fleet.json" --seconds 34 --ended i-a2
     steering_scenario
     local status=0
+    show_instances
     say "waiting for the callers to end"
     wait "${pids[caller]}" || status=$?
     cat "$workspace/caller.out"
--- a/services/bramleyctl/overview.cpp
+++ b/services/bramleyctl/overview.cpp
@@ -1,6 +1,7 @@
 #include "overview.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
@@ -75,8 +76,9 @@
         have_all_answered = have_all_answered && !gauges.empty();
         for (const auto& each : columns) {
             const auto found = gauges.find(each.gauge);
-            row[each.heading] = found == gauges.end() ? nlohmann::ordered_json{}
-                                                      : nlohmann::ordered_json(found->second);
+            row[each.heading] = found == gauges.end()
+                                    ? nlohmann::ordered_json{}
+                                    : nlohmann::ordered_json(std::llround(found->second));
         }
         if (!gauges.empty()) {
             versions.insert(gauges.at(columns[1].gauge));
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using experiments::overload_choice;
-using experiments::overload_pattern;
 
 std::map<std::string, double> figures(std::string_view name, const overload_choice& choice) {
     std::map<std::string, double> result;
