Fleet: Pull little, and doubt the own link before a target

Change: the mirror tells only the newest word on each key; answers are compressed and kept for who asks the same; each instance has its own order of peers; after a large text the next pull waits, a second at most. A target counts as silent only while another one answered within 300 ms and no data sent again was answered within 3 s. Ruled out: resets only on the word of a second instance, since all links were full at once.

--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -31,18 +31,20 @@
 
 std::optional<pull> sources::wanted_pull(std::int64_t revision, bool is_watching,
                                          clock::time_point now) {
-    const heard_digest* newest = nullptr;
     const discovery::peer_entry* from = nullptr;
+    std::uint64_t best_rank = 0;
     bool is_ahead_heard = false;
     for (const auto& [name, digest] : digests_.heard()) {
-        const bool is_ahead =
-            digests_.is_fresh(digest, now) && digest.content.store_revision > revision;
-        is_ahead_heard = is_ahead_heard || is_ahead;
+        if (!digests_.is_fresh(digest, now) || digest.content.store_revision <= revision) {
+            continue;
+        }
+        is_ahead_heard = true;
         const auto peer = known_.peers().find(name);
-        const bool is_newer =
-            newest == nullptr || digest.content.store_revision > newest->content.store_revision;
-        if (is_ahead && is_newer && peer != known_.peers().end()) {
-            newest = &digest;
+        // Failure: all fetch from the one that knows most, and its link is full for seconds. Each
+        // has another order, so that those who know pass it on.
+        const auto rank = hash_of(hash_of(self_), hash_of(name));
+        if (peer != known_.peers().end() && (from == nullptr || rank > best_rank)) {
+            best_rank = rank;
             from = &peer->second;
         }
     }
@@ -55,7 +57,7 @@
         behind_since_ = now;
     }
     const auto patience = is_watching ? limits_.patience_of_watcher : limits_.patience_of_follower;
-    if (newest == nullptr || now - behind_since_ < patience) {
+    if (from == nullptr || now - behind_since_ < patience) {
         return std::nullopt;
     }
     return pull{.peer = from->name, .address = from->pull_address};
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -149,6 +149,12 @@
     flow.request_at = now;
 }
 
+// Failure: this instance's own link is full, and what it forwards is lost. Every target looks
+// silent from here, and flows of targets that live would be reset.
+bool flow_watch::is_path_sound(clock::time_point now) const {
+    return now - answered_at_ <= limits_.path_life && now - recovered_at_ > limits_.path_memory;
+}
+
 void flow_watch::note_repeat(flow_state& flow, observation& result, clock::time_point now) {
     auto& signs = signs_[flow.token];
     ++flow.repeats;
@@ -158,7 +164,8 @@
         return;
     }
     signs.silent_flows += flow.repeats == repeats_of_silence ? 1 : 0;
-    result.is_target_silent = signs.silent_flows >= limits_.least_silent_flows;
+    result.is_target_silent =
+        signs.silent_flows >= limits_.least_silent_flows && is_path_sound(now);
     if (result.is_target_silent) {
         signs.shunned_until = std::max(signs.shunned_until, now + limits_.shun_for);
     }
@@ -176,6 +183,7 @@
     }
     result.is_answer = true;
     result.answer_took = now - flow.request_at;
+    recovered_at_ = flow.repeats > 0 ? now : recovered_at_;
     if (objective > clock::duration{0}) {
         signs.limit.on_answer(result.answer_took, objective, signs.open_requests, target);
     }
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -65,6 +65,10 @@
     clock::duration shun_for{1'500};
     clock::duration longest_shun{6'000};
     int least_silent_flows = 2;
+    // Third copies come 400 ms after second ones: another target must have answered meanwhile.
+    clock::duration path_life{300};
+    // An instance that loses packets itself sees some of them arrive as copies within seconds.
+    clock::duration path_memory{3'000};
     // An opening without an answer is forgotten then: callers give it up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
@@ -94,6 +98,9 @@
     const target_signs& signs(routing_token token) const;
     const std::unordered_map<routing_token, target_signs>& all_signs() const { return signs_; }
     std::size_t size() const { return flows_.size(); }
+    // Whether callers' data reaches targets from here: some target has answered within the time in
+    // which a silent one would have, and no data that was sent again has arrived after all lately.
+    bool is_path_sound(clock::time_point now) const;
     // When any target last answered anything here.
     clock::time_point answered_at() const { return answered_at_; }
     int openings_without_answer() const { return openings_without_answer_; }
@@ -112,6 +119,7 @@
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
     std::unordered_map<routing_token, target_signs> signs_;
     clock::time_point answered_at_;
+    clock::time_point recovered_at_;  // an answer last came to data that had been sent again
     clock::time_point next_expiry_;
     int openings_without_answer_ = 0;  // since any target answered
 };
--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -1,7 +1,6 @@
 #include "store/mirror.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 
 namespace bramleytrack::store {
@@ -14,7 +13,6 @@
         }
     }
     drop_old_markers();
-    remember(changed);
     return changed;
 }
 
@@ -40,9 +38,7 @@
     }
     drop_old_markers();
     if (revision_ == 0) {
-        history_floor_ = revision;  // the first read isn't a change
-    } else {
-        remember(changed);
+        floor_ = std::max(floor_, revision);
     }
     advance(revision);
     return changed;
@@ -63,21 +59,22 @@
 }
 
 std::optional<std::vector<event>> mirror::changes_since(std::int64_t revision) const {
-    if (revision < history_floor_) {
+    if (revision < floor_) {
         return std::nullopt;
     }
     std::vector<event> result;
-    std::ranges::copy_if(history_, std::back_inserter(result),
-                         [revision](const event& each) { return revision_of(each) > revision; });
-    return result;
-}
-
-void mirror::remember(std::span<const event> changed) {
-    history_.insert(history_.end(), changed.begin(), changed.end());
-    while (history_.size() > max_history) {
-        history_floor_ = std::max(history_floor_, revision_of(history_.front()));
-        history_.pop_front();
+    for (const auto& [key, known] : entries_) {
+        if (known.revision <= revision) {
+            continue;
+        }
+        if (known.is_removed) {
+            result.emplace_back(removal{.key = key, .revision = known.revision});
+        } else {
+            result.emplace_back(item{.key = key, .value = known.value, .revision = known.revision});
+        }
     }
+    std::ranges::sort(result, {}, &revision_of);
+    return result;
 }
 
 bool mirror::take(const event& offered) {
@@ -114,6 +111,7 @@
     const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
     std::ranges::nth_element(revisions, middle);
     const auto limit = *middle;
+    floor_ = std::max(floor_, limit);
     std::erase_if(entries_, [limit](const auto& each) {
         return each.second.is_removed && each.second.revision <= limit;
     });
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -4,7 +4,6 @@
 // revision of a key changes anything, so nothing that was once known ever goes back.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -31,8 +30,8 @@
 
     // All items, for a peer that lacks them.
     std::vector<item> items() const;
-    // What changed after `revision`, in the order in which it was learned; nothing when the history
-    // doesn't reach back so far.
+    // The newest word on each key that changed after `revision`, in the order of their revisions;
+    // nothing when some of it may have been dropped.
     std::optional<std::vector<event>> changes_since(std::int64_t revision) const;
     std::size_t size() const { return entries_.size(); }
 
@@ -46,16 +45,14 @@
     // Removed keys stay as markers, so that an older item can't bring them back; the oldest are
     // dropped beyond this number. Hosts come and go a few thousand times a day at the planned size.
     static constexpr std::size_t max_markers = 10'000;
-    // A peer that missed more asks for everything; the configurations of a storm are in here too.
-    static constexpr std::size_t max_history = 256;
-    void remember(std::span<const event> changed);
     bool take(const event& offered);
     void drop_old_markers();
 
     std::map<std::string, entry, std::less<>> entries_;
     std::size_t markers_ = 0;
-    std::deque<event> history_;
-    std::int64_t history_floor_ = 0;  // changes up to this revision may be missing in history_
+    // Removals up to this revision may be missing: they came before the first read, or their
+    // markers were dropped.
+    std::int64_t floor_ = 0;
     std::int64_t revision_ = 0;
 };
 
--- a/libraries/wire/codec.cpp
+++ b/libraries/wire/codec.cpp
@@ -3,6 +3,7 @@
 #include <highwayhash/sip_hash.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
+#include <zstd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -17,6 +18,8 @@
 using apache::thrift::transport::TMemoryBuffer;
 using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
 
+// Configurations shrink to a tenth at the fastest level, at a millisecond for 300 KB.
+constexpr int fast_compression = 1;
 constexpr std::size_t tag_size = sizeof(std::uint64_t);
 // An element of any list takes ten bytes or more on the wire.
 constexpr std::size_t max_list_elements = max_datagram_size / 10;
@@ -27,6 +30,10 @@
     return highwayhash::SipHash(sip_key, reinterpret_cast<const char*>(bytes.data()), bytes.size());
 }
 
+std::span<const std::uint8_t> bytes_of(std::string_view text) {
+    return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
 template <typename Message>
 std::variant<Message, result_code> decode(std::span<const std::uint8_t> bytes, std::size_t max_size,
                                           std::size_t max_elements) {
@@ -53,22 +60,6 @@
     return message;
 }
 
-template <typename Message>
-std::variant<Message, result_code> decode_tagged(std::span<const std::uint8_t> bytes,
-                                                 const fleet_key& key, std::size_t max_size,
-                                                 std::size_t max_elements) {
-    if (bytes.size() <= tag_size) {
-        return result_code::malformed_datagram;
-    }
-    std::uint64_t tag = 0;
-    std::memcpy(&tag, bytes.data(), tag_size);
-    const auto content = bytes.subspan(tag_size);
-    if (tag != tag_of(content, key)) {
-        return result_code::unauthenticated_datagram;
-    }
-    return decode<Message>(content, max_size, max_elements);
-}
-
 }  // namespace
 
 fleet_key derive_fleet_key(std::string_view passphrase) {
@@ -127,27 +118,55 @@
 
 std::string encode_store_changes(const store_changes& changes, const fleet_key& key) {
     const auto buffer = std::make_shared<TMemoryBuffer>();
-    const std::array<std::uint8_t, tag_size> placeholder{};
-    buffer->write(placeholder.data(), tag_size);
     compact_protocol protocol{buffer};
     changes.write(&protocol);
-    auto text = buffer->getBufferAsString();
-    const auto* data = reinterpret_cast<const std::uint8_t*>(text.data());
-    const auto tag = tag_of({data + tag_size, text.size() - tag_size}, key);
+    const auto plain = buffer->getBufferAsString();
+    std::string text(tag_size + ZSTD_compressBound(plain.size()), '\0');
+    const auto size = ZSTD_compress(text.data() + tag_size, text.size() - tag_size, plain.data(),
+                                    plain.size(), fast_compression);
+    text.resize(tag_size + (ZSTD_isError(size) != 0 ? 0 : size));
+    const auto tag = tag_of(bytes_of(text).subspan(tag_size), key);
     std::memcpy(text.data(), &tag, tag_size);
     return text;
 }
 
 std::variant<store_changes, result_code> decode_store_changes(std::string_view bytes,
                                                               const fleet_key& key) {
-    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-    return decode_tagged<store_changes>({data, bytes.size()}, key, max_store_changes_size,
-                                        max_store_records);
+    if (bytes.size() <= tag_size) {
+        return result_code::malformed_datagram;
+    }
+    std::uint64_t tag = 0;
+    std::memcpy(&tag, bytes.data(), tag_size);
+    const auto content = bytes.substr(tag_size);
+    if (tag != tag_of(bytes_of(content), key)) {
+        return result_code::unauthenticated_datagram;
+    }
+    // The claimed size is compared before anything is allocated.
+    const auto size = ZSTD_getFrameContentSize(content.data(), content.size());
+    if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR ||
+        size > max_store_changes_size) {
+        return result_code::malformed_datagram;
+    }
+    std::string plain(size, '\0');
+    const auto written =
+        ZSTD_decompress(plain.data(), plain.size(), content.data(), content.size());
+    if (written != plain.size()) {
+        return result_code::malformed_datagram;
+    }
+    return decode<store_changes>(bytes_of(plain), max_store_changes_size, max_store_records);
 }
 
 std::variant<peer_message, result_code> decode_peer_message(std::span<const std::uint8_t> datagram,
                                                             const fleet_key& key) {
-    return decode_tagged<peer_message>(datagram, key, max_datagram_size, max_list_elements);
+    if (datagram.size() <= tag_size) {
+        return result_code::malformed_datagram;
+    }
+    std::uint64_t tag = 0;
+    std::memcpy(&tag, datagram.data(), tag_size);
+    if (tag != tag_of(datagram.subspan(tag_size), key)) {
+        return result_code::unauthenticated_datagram;
+    }
+    return decode<peer_message>(datagram.subspan(tag_size), max_datagram_size, max_list_elements);
 }
 
 }  // namespace bramleytrack::wire
--- a/libraries/wire/codec.h
+++ b/libraries/wire/codec.h
@@ -56,7 +56,7 @@
 std::string encode_transfer(const configuration_transfer& transfer);
 std::variant<configuration_transfer, result_code> decode_transfer(std::string_view bytes);
 
-// A peer's answer with what it holds of the store, tagged like a datagram.
+// A peer's answer with what it holds of the store, compressed, and tagged like a datagram.
 std::string encode_store_changes(const store_changes& changes, const fleet_key& key);
 std::variant<store_changes, result_code> decode_store_changes(std::string_view bytes,
                                                               const fleet_key& key);
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "peer_exchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace bramleytrack {
@@ -12,6 +13,11 @@
 constexpr clock::duration pull_limit{700};
 // After a pull that failed, so that a peer that is gone isn't asked at each tick.
 constexpr clock::duration pull_pause{200};
+// Small instances have 10 Mbit/s for everything. A text of 300 KB, some 30 KB compressed, is
+// fetched once a second at most, however quickly one follows the other; the bound for a change is 3
+// s.
+constexpr std::int64_t pulled_bytes_per_millisecond = 300;
+constexpr clock::duration longest_pull_pause{1'000};
 constexpr std::string_view changes_path = "/changes";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
@@ -111,9 +117,22 @@
     const auto text = request.query_or("after", "0");
     std::int64_t after = 0;
     (void)std::from_chars(text.data(), text.data() + text.size(), after);  // 0: tell everything
+    respond({.status = http_ok,
+             .body = changes_since(after),
+             .content_type = "application/octet-stream"});
+}
+
+// Peers that fell behind together ask the same question, so the last answer is kept.
+const std::string& peer_exchange::changes_since(std::int64_t after) {
+    const auto now = clock::now();
+    const bool is_kept = kept_after_ == after && kept_revision_ == mirror_.revision() &&
+                         now - kept_at_ < digest_interval;
+    if (is_kept) {
+        return kept_answer_;
+    }
     wire::store_changes answer;
     answer.revision = mirror_.revision();
-    answer.confirmed_ms_ago = age_in_milliseconds(told_.confirmed, clock::now());
+    answer.confirmed_ms_ago = age_in_milliseconds(told_.confirmed, now);
     const auto changes = mirror_.changes_since(after);
     answer.is_whole = !changes.has_value();
     if (changes) {
@@ -125,9 +144,11 @@
             answer.records.push_back(record_of(std::move(each)));
         }
     }
-    respond({.status = http_ok,
-             .body = wire::encode_store_changes(answer, key_),
-             .content_type = "application/octet-stream"});
+    kept_answer_ = wire::encode_store_changes(answer, key_);
+    kept_after_ = after;
+    kept_revision_ = answer.revision;
+    kept_at_ = now;
+    return kept_answer_;
 }
 
 void peer_exchange::fetch(const fleet::pull& from, clock::time_point now) {
@@ -167,7 +188,12 @@
         ++rejected_;
         return;
     }
-    next_pull_ = now;
+    std::int64_t bytes = 0;
+    for (const auto& each : changes->records) {
+        bytes += static_cast<std::int64_t>(each.value.size());
+    }
+    next_pull_ =
+        now + std::min(longest_pull_pause, clock::duration{bytes / pulled_bytes_per_millisecond});
     pulled result;
     result.revision = changes->revision;
     result.is_whole = changes->is_whole;
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -61,6 +61,7 @@
 private:
     void on_datagram(std::span<const std::uint8_t> datagram);
     void serve(const net::http_request& request, const net::http_responder& respond);
+    const std::string& changes_since(std::int64_t after);
     void on_answer(const std::string& peer, const net::http_result& answer, clock::time_point sent);
 
     std::string name_;
@@ -79,6 +80,10 @@
     clock::time_point next_digest_;
     clock::time_point next_pull_;
     std::size_t next_seed_ = 0;
+    std::string kept_answer_;  // to the question for changes after kept_after_, at kept_revision_
+    std::int64_t kept_after_ = -1;
+    std::int64_t kept_revision_ = -1;
+    clock::time_point kept_at_;
     bool is_pulling_ = false;
     std::int64_t incarnation_ = 0;
     std::int64_t rejected_ = 0;
