Fleet: Call the revision that an instance holds the known revision

Ruled out: a leak of the format itself, nothing decodes it there. Conclusion: names only; metric bramleytrack_known_revision.

--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -35,7 +35,7 @@
     std::uint64_t best_rank = 0;
     bool is_ahead_heard = false;
     for (const auto& [name, digest] : digests_.heard()) {
-        if (!digests_.is_fresh(digest, now) || digest.content.store_revision <= revision) {
+        if (!digests_.is_fresh(digest, now) || digest.content.known_revision <= revision) {
             continue;
         }
         is_ahead_heard = true;
@@ -67,7 +67,7 @@
     auto latest = std::max(own.confirmed_at(), pulled_confirmation_);
     for (const auto& [name, digest] : digests_.heard()) {
         // A peer that knows more has confirmed something else than what this instance holds.
-        if (revision == 0 || digest.content.store_revision <= revision) {
+        if (revision == 0 || digest.content.known_revision <= revision) {
             latest = std::max(latest, digest.confirmed);
         }
     }
--- a/libraries/observability/steering_metrics.cpp
+++ b/libraries/observability/steering_metrics.cpp
@@ -29,9 +29,9 @@
 constexpr std::array gauges{
     gauge_description<steering_gauges>{"bramleytrack_configuration_version", "version in force",
                                        &read_member<&steering_gauges::catalogue_version>},
-    gauge_description<steering_gauges>{"bramleytrack_store_revision",
+    gauge_description<steering_gauges>{"bramleytrack_known_revision",
                                        "newest revision of the store that is known",
-                                       &read_member<&steering_gauges::store_revision>},
+                                       &read_member<&steering_gauges::known_revision>},
     gauge_description<steering_gauges>{
         "bramleytrack_confirmed_ms_ago",
         "age of the newest word that what is known is still true; -1 is never",
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -11,7 +11,7 @@
 // What is read off the state when the metrics are asked for.
 struct steering_gauges {
     std::int64_t catalogue_version = 0;
-    std::int64_t store_revision = 0;
+    std::int64_t known_revision = 0;
     std::int64_t confirmed_ms_ago = -1;  // -1: never
     std::int64_t targets = 0;
     std::int64_t zones_out = 0;
--- a/libraries/wire/bramleytrack.thrift
+++ b/libraries/wire/bramleytrack.thrift
@@ -180,7 +180,7 @@
 
 // What an instance that routes by token tells its peers every few hundred milliseconds.
 struct digest {
-  1: i64 store_revision,     // everything up to it is known
+  1: i64 known_revision,     // everything up to it is known
   2: i64 confirmed_ms_ago,   // age of the word that nothing newer was in the store; -1 is never
   3: bool has_lost_store,
   4: bool is_stopping,
--- a/services/bramleyctl/overview.cpp
+++ b/services/bramleyctl/overview.cpp
@@ -25,7 +25,7 @@
 constexpr std::array columns{
     column{"ready", "bramleytrack_ready"},
     column{"version", "bramleytrack_configuration_version"},
-    column{"revision", "bramleytrack_store_revision"},
+    column{"revision", "bramleytrack_known_revision"},
     column{"confirmed_ms_ago", "bramleytrack_confirmed_ms_ago"},
     column{"store", "bramleytrack_store_reachable"},
     column{"targets", "bramleytrack_targets"},
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -68,14 +68,14 @@
 
 void peer_exchange::tick(const digest_facts& facts, const steering::flow_watch& flows,
                          clock::time_point now) {
-    const bool has_news = facts.store_revision > told_.store_revision;
+    const bool has_news = facts.known_revision > told_.known_revision;
     if (now < next_digest_ && !has_news) {
         return;
     }
     next_digest_ = now + digest_interval;
     told_ = facts;
     wire::digest content;
-    content.store_revision = facts.store_revision;
+    content.known_revision = facts.known_revision;
     content.confirmed_ms_ago = age_in_milliseconds(facts.confirmed, now);
     content.has_lost_store = facts.has_lost_store;
     content.is_stopping = facts.is_stopping;
@@ -98,7 +98,7 @@
         return;
     }
     const auto now = clock::now();
-    const bool has_news = message->fleet_digest.store_revision > mirror_.revision();
+    const bool has_news = message->fleet_digest.known_revision > mirror_.revision();
     digests_.on_digest(message->sender, std::move(message->fleet_digest), now);
     if (has_news) {
         has_news_(now);
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -22,7 +22,7 @@
 
 // What a digest tells besides the loads.
 struct digest_facts {
-    std::int64_t store_revision = 0;
+    std::int64_t known_revision = 0;
     clock::time_point confirmed;  // the epoch when never
     bool has_lost_store = false;
     bool is_stopping = false;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -179,7 +179,7 @@
         exchange_.fetch(*wanted, now);
     }
     const bool has_lost_store = feed_.failed_at() != clock::time_point{};
-    exchange_.tick({.store_revision = mirror_.revision(),
+    exchange_.tick({.known_revision = mirror_.revision(),
                     .confirmed = confirmed_at_,
                     .has_lost_store = has_lost_store,
                     .is_stopping = stop_.is_begun()},
@@ -322,7 +322,7 @@
     const auto now = clock::now();
     const bool is_confirmed = confirmed_at_ != clock::time_point{};
     return metrics_.render({.catalogue_version = directory_.in_force().version,
-                            .store_revision = mirror_.revision(),
+                            .known_revision = mirror_.revision(),
                             .confirmed_ms_ago = is_confirmed ? (now - confirmed_at_).count() : -1,
                             .targets = static_cast<std::int64_t>(directory_.target_count()),
                             .zones_out = static_cast<std::int64_t>(directory_.zones_out().size()),
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -16,7 +16,7 @@
 
 wire::digest fleet_digest_of(const peer_digests& digests, const steering::flow_watch& flows) {
     wire::digest result;
-    result.store_revision = 123'456'789;
+    result.known_revision = 123'456'789;
     result.confirmed_ms_ago = 2'400;
     result.loads = digests.loads_of(flows, start);
     return result;
@@ -48,7 +48,7 @@
 
     static wire::digest digest(std::int64_t revision, std::int64_t confirmed_ms_ago) {
         wire::digest result;
-        result.store_revision = revision;
+        result.known_revision = revision;
         result.confirmed_ms_ago = confirmed_ms_ago;
         return result;
     }
--- a/tests/flow_story_test.cpp
+++ b/tests/flow_story_test.cpp
@@ -101,9 +101,9 @@
 TEST(overview, reads_gauges_and_leaves_histograms_out) {
     const auto gauges = ctl::parse_gauges(
         "# HELP bramleytrack_ready 1 while new flows are wanted here\nbramleytrack_ready 1\n"
-        "bramleytrack_opening_seconds_bucket{le=\"0.1\"} 7\nbramleytrack_store_revision 45\n");
+        "bramleytrack_opening_seconds_bucket{le=\"0.1\"} 7\nbramleytrack_known_revision 45\n");
     EXPECT_EQ(gauges.size(), 2U);
-    EXPECT_EQ(gauges.at("bramleytrack_store_revision"), 45);
+    EXPECT_EQ(gauges.at("bramleytrack_known_revision"), 45);
 }
 
 }  // namespace
