Steering: Drop what nothing reads, and show what was only counted

Cause: reading the change as a newcomer: counters of openings and copies, a field of the belief and a function of the socket had no reader; messages of peers that were rejected and datagrams that the system didn't take were counted and shown nowhere. The former are gone, the latter are gauges. Conclusion: nothing changes for callers.

--- a/libraries/net/packet_socket.cpp
+++ b/libraries/net/packet_socket.cpp
@@ -83,17 +83,6 @@
     queued_ = 0;
 }
 
-std::int64_t packet_socket::discard_waiting() {
-    std::int64_t discarded = 0;
-    while (true) {
-        const int count = receive();
-        if (count <= 0) {
-            return discarded;
-        }
-        discarded += count;
-    }
-}
-
 int packet_socket::receive() {
     return recvmmsg(socket_.get(), received_heads_.data(), batch_size, MSG_DONTWAIT, nullptr);
 }
--- a/libraries/net/packet_socket.h
+++ b/libraries/net/packet_socket.h
@@ -39,9 +39,6 @@
     // Sends what is queued. Called after each batch that was received; call it after other sends.
     void flush();
 
-    // Takes all that waits and drops it.
-    std::int64_t discard_waiting();
-
     std::int64_t dropped_sends() const { return dropped_sends_; }
 
 private:
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -20,6 +20,8 @@
     std::int64_t store_calls = 0;
     std::int64_t lost_log_lines = 0;
     std::int64_t malformed_datagrams = 0;
+    std::int64_t rejected_peer_messages = 0;
+    std::int64_t dropped_sends = 0;
     bool is_store_reachable = false;
     bool is_ready = false;
 };
--- a/libraries/steering/decision.h
+++ b/libraries/steering/decision.h
@@ -30,8 +30,7 @@
 
 // How far the instance trusts what it knows when a packet arrives.
 struct belief {
-    bool is_complete = false;  // the store, or a peer, has told everything once
-    bool is_stopping = false;
+    bool is_complete = false;     // the store, or a peer, has told everything once
     clock::time_point confirmed;  // what the directory holds was true then
 };
 
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -35,7 +35,6 @@
     }
     const int doublings = std::min(signs.unanswered, max_shun_doublings);
     ++signs.unanswered;
-    ++openings_without_answer_;
     signs.shunned_until = now + std::min(limits_.longest_shun, limits_.shun_for * (1 << doublings));
 }
 
@@ -45,8 +44,6 @@
         return;
     }
     auto& flow = found == flows_.end() ? flows_[opening.flow] : found->second;
-    const bool is_same = flow.token != 0 && flow.opening_sequence == opening.sequence;
-    const int copies = is_same ? flow.copies + 1 : 0;
     if (flow.token != 0) {
         release(flow);
     }
@@ -59,8 +56,7 @@
             .seen_at = now,
             .is_established = false,
             .has_open_request = true,
-            .is_request_sent = false,
-            .copies = copies};
+            .is_request_sent = false};
     auto& signs = signs_[token];
     ++signs.flows;
     ++signs.open_requests;
@@ -240,7 +236,6 @@
     signs.shunned_until = {};
     signs.answered_at = now;
     answered_at_ = now;
-    openings_without_answer_ = 0;
 }
 
 }  // namespace bramleytrack::steering
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -45,7 +45,6 @@
     bool is_established = false;
     bool has_open_request = false;  // counted in target_signs::open_requests
     bool is_request_sent = false;   // its first byte went by; request_at holds then
-    int copies = 0;                 // of the opening packet, seen here
     int repeats = 0;                // of the newest data
 };
 
@@ -103,7 +102,6 @@
     bool is_path_sound(clock::time_point now) const;
     // When any target last answered anything here.
     clock::time_point answered_at() const { return answered_at_; }
-    int openings_without_answer() const { return openings_without_answer_; }
 
 private:
     flow_state* find_or_adopt(const segment& content, bool is_end, clock::time_point now);
@@ -121,7 +119,6 @@
     clock::time_point answered_at_;
     clock::time_point recovered_at_;  // an answer last came to data that had been sent again
     clock::time_point next_expiry_;
-    int openings_without_answer_ = 0;  // since any target answered
 };
 
 }  // namespace bramleytrack::steering
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -187,7 +187,7 @@
 
     steering::decision deliver(const caller& by, const steering::segment& content) {
         return instances_[by.instance].core->on_segment(
-            content, {.is_complete = true, .is_stopping = false, .confirmed = now_}, now_);
+            content, {.is_complete = true, .confirmed = now_}, now_);
     }
 
     void ask(int index) {
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -163,9 +163,7 @@
 }
 
 steering::belief steering_daemon::belief() const {
-    return {.is_complete = is_informed_ && directory_.has_catalogue(),
-            .is_stopping = stop_.is_begun(),
-            .confirmed = confirmed_at_};
+    return {.is_complete = is_informed_ && directory_.has_catalogue(), .confirmed = confirmed_at_};
 }
 
 void steering_daemon::consult_peers(clock::time_point now) {
@@ -331,6 +329,8 @@
                             .store_calls = feed_.calls(),
                             .lost_log_lines = observability::lost_log_lines(),
                             .malformed_datagrams = malformed_,
+                            .rejected_peer_messages = exchange_.rejected(),
+                            .dropped_sends = packets_.dropped_sends(),
                             .is_store_reachable = feed_.is_reachable(),
                             .is_ready = is_ready_});
 }
--- a/tests/steering_regions_test.cpp
+++ b/tests/steering_regions_test.cpp
@@ -51,8 +51,8 @@
         steering::segment opening;
         opening.flow = {.caller = {.address = 2, .port = 9}, .route = {.address = 1, .port = 80}};
         opening.is_opening = true;
-        const auto made = subject_.on_segment(
-            opening, {.is_complete = true, .is_stopping = false, .confirmed = start}, start);
+        const auto made =
+            subject_.on_segment(opening, {.is_complete = true, .confirmed = start}, start);
         const auto* forwarded = std::get_if<steering::forward>(&made);
         return forwarded == nullptr ? "" : forwarded->to->entry.id;
     }
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -204,8 +204,7 @@
 }
 
 void steering_session::deliver(const std::string& flow, const steering::segment& content) {
-    const auto made = subject_.on_segment(
-        content, {.is_complete = true, .is_stopping = false, .confirmed = now_}, now_);
+    const auto made = subject_.on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
     auto line = std::to_string((now_ - epoch).count()) + " flow " + flow + ": ";
     if (const auto* forwarded = std::get_if<steering::forward>(&made)) {
         const auto& id = forwarded->to->entry.id;
