Wire: Check the tag of a peer's bytes in one place

Cause: reading the change once more: the tag of datagrams and of pulled changes was checked by the same lines twice; each reset parsed the packet address anew, thousands a second when callers are turned away; the age of the word was worked out twice after a pull. Ruled out as the same logic: the pairs of the stand-ins' option tables and the tests' set-ups. Conclusion: nothing changes for callers or peers.

--- a/libraries/wire/codec.cpp
+++ b/libraries/wire/codec.cpp
@@ -30,6 +30,21 @@
     return highwayhash::SipHash(sip_key, reinterpret_cast<const char*>(bytes.data()), bytes.size());
 }
 
+// What follows the tag, if the tag is right.
+std::variant<std::span<const std::uint8_t>, result_code> authenticate(
+    std::span<const std::uint8_t> bytes, const fleet_key& key) {
+    if (bytes.size() <= tag_size) {
+        return result_code::malformed_datagram;
+    }
+    std::uint64_t tag = 0;
+    std::memcpy(&tag, bytes.data(), tag_size);
+    const auto content = bytes.subspan(tag_size);
+    if (tag != tag_of(content, key)) {
+        return result_code::unauthenticated_datagram;
+    }
+    return content;
+}
+
 std::span<const std::uint8_t> bytes_of(std::string_view text) {
     return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
@@ -132,15 +147,11 @@
 
 std::variant<store_changes, result_code> decode_store_changes(std::string_view bytes,
                                                               const fleet_key& key) {
-    if (bytes.size() <= tag_size) {
-        return result_code::malformed_datagram;
-    }
-    std::uint64_t tag = 0;
-    std::memcpy(&tag, bytes.data(), tag_size);
-    const auto content = bytes.substr(tag_size);
-    if (tag != tag_of(bytes_of(content), key)) {
-        return result_code::unauthenticated_datagram;
+    const auto authentic = authenticate(bytes_of(bytes), key);
+    if (const auto* fault = std::get_if<result_code>(&authentic)) {
+        return *fault;
     }
+    const auto content = std::get<std::span<const std::uint8_t>>(authentic);
     // The claimed size is compared before anything is allocated.
     const auto size = ZSTD_getFrameContentSize(content.data(), content.size());
     if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR ||
@@ -158,15 +169,12 @@
 
 std::variant<peer_message, result_code> decode_peer_message(std::span<const std::uint8_t> datagram,
                                                             const fleet_key& key) {
-    if (datagram.size() <= tag_size) {
-        return result_code::malformed_datagram;
-    }
-    std::uint64_t tag = 0;
-    std::memcpy(&tag, datagram.data(), tag_size);
-    if (tag != tag_of(datagram.subspan(tag_size), key)) {
-        return result_code::unauthenticated_datagram;
+    const auto authentic = authenticate(datagram, key);
+    if (const auto* fault = std::get_if<result_code>(&authentic)) {
+        return *fault;
     }
-    return decode<peer_message>(datagram.subspan(tag_size), max_datagram_size, max_list_elements);
+    return decode<peer_message>(std::get<std::span<const std::uint8_t>>(authentic),
+                                max_datagram_size, max_list_elements);
 }
 
 }  // namespace bramleytrack::wire
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -60,6 +60,7 @@
       registration_{parts_.store, parts_.registration_key, parts_.registration_value,
                     seed_of(settings_.name)},
       exchange_{loop, settings_, mirror_, digests_, log_},
+      caller_port_{ntohs(bound_address(settings_.packet_address).sin_port)},
       packets_{loop, bound_address(settings_.packet_address),
                [this](std::span<const std::uint8_t> datagram) { on_datagram(datagram); }},
       readiness_{loop, settings_.readiness_address,
@@ -158,8 +159,7 @@
 void steering_daemon::send_reset(const steering::reset& wanted) {
     const auto part = parts_.packets.encode_reset(wanted, packets_.next_buffer());
     // Callers receive at the port at which instances do.
-    const auto port = ntohs(bound_address(settings_.packet_address).sin_port);
-    packets_.queue(wanted.flow.caller.address, port, part.size());
+    packets_.queue(wanted.flow.caller.address, caller_port_, part.size());
 }
 
 steering::belief steering_daemon::belief() const {
@@ -189,7 +189,6 @@
                                           : mirror_.apply(changes.events);
     mirror_.advance(changes.revision);
     sources_.note_pulled(changes.confirmed);
-    confirmed_at_ = sources_.confirmed_at(feed_, mirror_.revision());
     on_store_change(changed, now);
 }
 
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -80,6 +80,7 @@
     store::feed feed_;
     discovery::registration registration_;
     peer_exchange exchange_;
+    std::uint16_t caller_port_;  // where callers receive resets
     net::packet_socket packets_;
     net::http_server readiness_;
     net::http_server admin_;
