Settings, Store: Ignore unknown settings, and values that can be of no use

Change: unknown settings are named in one line each (setting_ignored) and left aside; faults show what was found, never the passphrase; the mirror keeps only key and revision of what the adapter says can't be of use; an unreadable entry takes its target out of new flows, while open flows go on. The check that a slip of the finger in a name is a fault is replaced: the field that was meant is then missing, which is a fault, and the slip itself is named exactly. Ruled out: cutting large values off in the adapter, which decides nothing.

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -51,7 +51,12 @@
     if (const auto* removed = std::get_if<peer_removed>(&subject)) {
         return peers_.erase(removed->name) > 0 ? change::applied : change::none;
     }
-    return std::holds_alternative<unreadable>(subject) ? change::refused : change::none;
+    if (const auto* garbled = std::get_if<unreadable>(&subject)) {
+        // An entry that can't be read names no target, whatever stood there before.
+        remove_target(garbled->target_id, revision, is_store_suspect, now);
+        return change::refused;
+    }
+    return change::none;
 }
 
 const route* directory::find_route(const endpoint& address) const {
--- a/libraries/discovery/records.h
+++ b/libraries/discovery/records.h
@@ -93,6 +93,7 @@
 struct unreadable {
     std::string key;
     std::string reason;
+    std::string target_id;  // empty when the key isn't a target's
 };
 
 // A key that isn't this product's concern.
@@ -111,6 +112,8 @@
 
     virtual record read(std::string_view key, std::string_view value) const = 0;
     virtual record read_removal(std::string_view key) const = 0;
+    // Whether a value of this size under this key can be anything but unreadable or unrelated.
+    virtual bool is_of_use(std::string_view key, std::size_t size) const = 0;
 };
 
 }  // namespace bramleytrack::discovery
--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view name_allowed = "a name of at most 64 characters without spaces";
 constexpr std::string_view address_allowed = "a numeric ip:port such as 10.0.0.1:7000";
 
+constexpr std::string_view passphrase_key = "fleet_passphrase";
+
 constexpr std::array text_keys{
     text_key{"name", &steering_settings::name, &is_name, name_allowed},
     text_key{"zone", &steering_settings::zone, &is_name, name_allowed},
@@ -41,7 +43,7 @@
              address_allowed},
     text_key{"store_address", &steering_settings::store_address, &configuration::is_numeric_address,
              address_allowed},
-    text_key{"fleet_passphrase", &steering_settings::fleet_passphrase, &is_passphrase,
+    text_key{passphrase_key, &steering_settings::fleet_passphrase, &is_passphrase,
              "a text of at least 12 characters"},
 };
 
@@ -55,13 +57,32 @@
     seconds_key{"flow_lifetime_s", &steering_settings::flow_lifetime},
 };
 
-fault expected(std::string_view name, std::string_view allowed) {
-    return {
-        .line = 0, .path = "/" + std::string{name}, .message = "expected " + std::string{allowed}};
-}
-
 constexpr std::string_view seeds_key = "seeds";
 constexpr std::string_view zones_key = "zones";
+constexpr std::size_t max_shown_value = 80;
+
+// What stands at the key, for the person who wrote it. A passphrase is never shown.
+std::string shown(const json& root, std::string_view name) {
+    const auto found = root.find(name);
+    if (found == root.end()) {
+        return "nothing";
+    }
+    if (name == passphrase_key) {
+        return "another value";
+    }
+    // Text that isn't UTF-8 must not end the program while its fault is being reported.
+    auto text = found->dump(-1, ' ', false, json::error_handler_t::replace);
+    if (text.size() > max_shown_value) {
+        text = text.substr(0, max_shown_value) + "...";
+    }
+    return text;
+}
+
+fault expected(const json& root, std::string_view name, std::string_view allowed) {
+    return {.line = 0,
+            .path = "/" + std::string{name},
+            .message = "expected " + std::string{allowed} + ", found " + shown(root, name)};
+}
 
 bool read_zones(const json& root, steering_settings& result) {
     const auto found = root.find(zones_key);
@@ -104,7 +125,7 @@
         if (is_valid) {
             result.*each.member = found->get<std::string>();
         } else {
-            faults.push_back(expected(each.name, each.allowed));
+            faults.push_back(expected(root, each.name, each.allowed));
         }
     }
     for (const auto& each : seconds_keys) {
@@ -115,18 +136,24 @@
         if (seconds > 0 && seconds <= longest_seconds) {
             result.*each.member = clock::duration{std::llround(seconds * milliseconds_per_second)};
         } else {
-            faults.push_back(expected(each.name, "a number of seconds above 0, at most 3600"));
+            faults.push_back(
+                expected(root, each.name, "a number of seconds above 0, at most 3600"));
         }
     }
     names.emplace_back(zones_key);
     if (!read_zones(root, result)) {
-        faults.push_back(expected(zones_key, "an object that names the region of each zone"));
+        faults.push_back(expected(root, zones_key, "an object that names the region of each zone"));
     }
     names.emplace_back(seeds_key);
     if (!read_seeds(root, result)) {
-        faults.push_back(expected(seeds_key, "a list of numeric ip:port, which may be empty"));
+        faults.push_back(
+            expected(root, seeds_key, "a list of numeric ip:port, which may be empty"));
+    }
+    for (const auto& [name, value] : root.items()) {
+        if (std::ranges::find(names, name) == names.end()) {
+            result.ignored_keys.push_back(name);
+        }
     }
-    std::ranges::move(unknown_keys(root, names), std::back_inserter(faults));
     return faults;
 }
 
--- a/libraries/settings/steering_settings.h
+++ b/libraries/settings/steering_settings.h
@@ -27,6 +27,9 @@
     std::string fleet_passphrase;    // authenticates peers
     clock::duration stop_grace{0};   // between SIGTERM and SIGKILL
     clock::duration flow_lifetime{0};
+    // Keys that this program doesn't know. The platform's template may grow fields before the
+    // program does, so they are reported and otherwise left alone.
+    std::vector<std::string> ignored_keys;
 
     bool operator==(const steering_settings&) const = default;
 };
--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -93,7 +93,9 @@
     markers_ -= known.is_removed ? 1 : 0;
     known.revision = revision;
     known.is_removed = written == nullptr;
-    known.value = written != nullptr ? written->value : std::string{};
+    const bool is_kept =
+        written != nullptr && (!is_of_use_ || is_of_use_(written->key, written->value.size()));
+    known.value = is_kept ? written->value : std::string{};
     markers_ += known.is_removed ? 1 : 0;
     return written != nullptr || !was_absent;
 }
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -4,6 +4,7 @@
 // revision of a key changes anything, so nothing that was once known ever goes back.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -17,6 +18,14 @@
 
 class mirror {
 public:
+    // Whether a value of this size under this key can be of use.
+    using value_filter = std::function<bool(std::string_view key, std::size_t size)>;
+
+    // Failure: other writers share the store, and their values, up to a megabyte each, would fill
+    // the memory here and be passed on to every peer. Of what `is_of_use` leaves out only the key
+    // and its revision are kept.
+    explicit mirror(value_filter is_of_use = nullptr) : is_of_use_{std::move(is_of_use)} {}
+
     // Applies what is new and returns just that.
     std::vector<event> apply(std::span<const event> events);
 
@@ -48,6 +57,7 @@
     bool take(const event& offered);
     void drop_old_markers();
 
+    value_filter is_of_use_;
     std::map<std::string, entry, std::less<>> entries_;
     std::size_t markers_ = 0;
     // Removals up to this revision may be missing: they came before the first read, or their
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -46,6 +46,9 @@
       read_settings_{std::move(read_settings)},
       parts_{std::move(parts)},
       loop_{loop},
+      mirror_{[&records = parts_.records](std::string_view key, std::size_t size) {
+          return records.is_of_use(key, size);
+      }},
       directory_{{.flow_lifetime = settings_.flow_lifetime}},
       cold_{settings_.name},
       digests_{directory_, settings_.name, seed_of(settings_.name)},
@@ -103,9 +106,16 @@
                    .with("zone", settings_.zone)
                    .with("packet_address", settings_.packet_address)
                    .with("store", settings_.store_address));
+    report_ignored_keys();
     feed_.tick(clock::now());
 }
 
+void steering_daemon::report_ignored_keys() {
+    for (const auto& each : settings_.ignored_keys) {
+        log_.write(log_event{"setting_ignored"}.with("field", each));
+    }
+}
+
 void steering_daemon::on_tick(ev::timer& /*watcher*/, int /*events*/) {
     const auto now = clock::now();
     pauses_.on_event(now);
@@ -307,12 +317,14 @@
     changed.stop_grace = offered->stop_grace;
     changed.flow_lifetime = offered->flow_lifetime;
     changed.seeds = offered->seeds;  // of use at a start only
+    changed.ignored_keys = offered->ignored_keys;
     directory_.set_flow_lifetime(offered->flow_lifetime);
     const bool needs_restart = changed != *offered;
     settings_ = std::move(changed);
     log_.write(log_event{"settings_reloaded"}
                    .with("stop_grace_ms", settings_.stop_grace.count())
                    .with("needs_restart", needs_restart ? "yes" : "no"));
+    report_ignored_keys();
 }
 
 std::string steering_daemon::render_metrics() const {
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -57,6 +57,7 @@
     void send_forward(std::span<const std::uint8_t> datagram, const discovery::target& to);
     void send_reset(const steering::reset& wanted);
     void check_settings(clock::time_point now);
+    void report_ignored_keys();
     void update_readiness(clock::time_point now);
     void end_when_quiet(clock::time_point now);
     std::size_t others_in_zone() const;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -131,6 +131,20 @@
     EXPECT_TRUE(is_left_out(std::string(10'000, '[')));
 }
 
+TEST(record_codec, names_the_target_whose_entry_cannot_be_read) {
+    EXPECT_EQ(read<discovery::unreadable>("servers/i-1f", "[]").target_id, "i-1f");
+    EXPECT_EQ(read<discovery::unreadable>("op/config", "[]").target_id, "");
+}
+
+TEST(record_codec, tells_by_key_and_size_what_may_be_of_use) {
+    const record_codec codec;
+    EXPECT_TRUE(codec.is_of_use("op/config", 1'000'000));
+    EXPECT_TRUE(codec.is_of_use("servers/i-1f", 500));
+    EXPECT_FALSE(codec.is_of_use("servers/i-1f", 1'000'000));
+    EXPECT_TRUE(codec.is_of_use("op/evacuate/north", 2));
+    EXPECT_FALSE(codec.is_of_use("elsewhere/key", 2));
+}
+
 TEST(record_codec, an_id_that_is_no_number_names_no_target) {
     EXPECT_TRUE(std::holds_alternative<discovery::unreadable>(
         record_codec{}.read("servers/i-xyz", whole_entry)));
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -115,5 +115,22 @@
     EXPECT_LE(known.size(), 10'001U);
 }
 
+// Another writer puts a megabyte under a key of its own, again and again. Every instance kept it,
+// and told it to each peer that asked: links of 10 Mbit/s were full for a second a time.
+TEST(store_mirror, keeps_the_key_but_not_a_value_that_is_of_no_use) {
+    mirror known{[](std::string_view key, std::size_t size) { return key != "b" && size < 100; }};
+    const item large{.key = "a", .value = std::string(1'000'000, 'x'), .revision = 3};
+    const item unrelated{.key = "b", .value = "x", .revision = 4};
+    EXPECT_EQ(known.apply(std::vector<event>{large, unrelated, written("c", 5)}).size(), 3U);
+    const auto told = known.changes_since(0);
+    ASSERT_TRUE(told.has_value());
+    ASSERT_EQ(told->size(), 3U);
+    EXPECT_EQ(std::get<item>(told->at(0)).value, "");
+    EXPECT_EQ(std::get<item>(told->at(1)).value, "");
+    EXPECT_EQ(std::get<item>(told->at(2)).value, "5");
+    // The revision still counts: an older word on the key must not come back.
+    EXPECT_TRUE(known.apply(std::vector<event>{written("a", 2)}).empty());
+}
+
 }  // namespace
 }  // namespace bramleytrack
