Steering: Let an owner of cold targets that hears nobody give up, and its successor wait

Change: an instance that hears neither the store nor a peer for 2 s owns nothing; whoever left the list counts as owner for 2.5 s more. Ruled out: smaller shares (0.25 of the bound would cost every cold target its load, all the time); owning only on fresh word of the store (an outage would then leave cold targets without flows for its whole length).

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -46,10 +46,15 @@
     }
     if (const auto* peer = std::get_if<peer_entry>(&subject)) {
         peers_[peer->name] = *peer;
+        departed_peers_.erase(peer->name);
         return change::applied;
     }
     if (const auto* removed = std::get_if<peer_removed>(&subject)) {
-        return peers_.erase(removed->name) > 0 ? change::applied : change::none;
+        if (peers_.erase(removed->name) == 0) {
+            return change::none;
+        }
+        departed_peers_[removed->name] = now;
+        return change::applied;
     }
     if (const auto* garbled = std::get_if<unreadable>(&subject)) {
         // An entry that can't be read names no target, whatever stood there before.
@@ -89,6 +94,9 @@
 }
 
 void directory::expire(clock::time_point now) {
+    std::erase_if(departed_peers_, [this, now](const auto& each) {
+        return now - each.second >= limits_.departure_memory;
+    });
     std::vector<std::string> expired;
     for (const auto& [id, known] : targets_) {
         if (!known->is_listed() && now - known->changed_at >= limits_.flow_lifetime) {
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -35,6 +35,9 @@
     clock::duration return_grace{2'000};
     // Entries that lapsed together are removed within one heartbeat of the targets.
     clock::duration joint_removal{1'500};
+    // An instance that is cut off from all doesn't hear that its entry went; it notices the cut
+    // within two seconds (source_limits::isolation), and a tick later.
+    clock::duration departure_memory{2'500};
     // A stranger could list any number of targets; 4,700 are planned for.
     std::size_t max_targets = 20'000;
 };
@@ -50,7 +53,7 @@
     // `is_store_suspect` says that the store was away within the grace: removals may be lapses.
     change apply(const record& subject, std::int64_t revision, bool is_store_suspect,
                  clock::time_point now);
-    // Forgets targets that have been gone for longer than a flow lives.
+    // Forgets targets that have been gone for longer than a flow lives, and peers that left.
     void expire(clock::time_point now);
 
     bool has_catalogue() const { return catalogue_.version > 0; }
@@ -64,6 +67,10 @@
     bool is_zone_out(std::string_view zone) const { return zones_out_.contains(zone); }
     const std::set<std::string, std::less<>>& zones_out() const { return zones_out_; }
     const std::map<std::string, peer_entry, std::less<>>& peers() const { return peers_; }
+    // Peers that left the list within the last departure_memory, and when.
+    const std::map<std::string, clock::time_point, std::less<>>& departed_peers() const {
+        return departed_peers_;
+    }
     std::size_t target_count() const { return targets_.size(); }
     void for_each_target(const std::function<void(const target&)>& visit) const;
 
@@ -87,6 +94,7 @@
     mutable bool are_pools_stale_ = false;
     std::set<std::string, std::less<>> zones_out_;
     std::map<std::string, peer_entry, std::less<>> peers_;
+    std::map<std::string, clock::time_point, std::less<>> departed_peers_;
 };
 
 }  // namespace bramleytrack::discovery
--- a/libraries/steering/cold_gate.cpp
+++ b/libraries/steering/cold_gate.cpp
@@ -23,14 +23,17 @@
 bool cold_gate::is_owner(const discovery::target& subject,
                          const discovery::directory& known) const {
     const auto own = hash_of(subject.token, hash_of(self_));
-    return std::ranges::none_of(known.peers(), [&](const auto& each) {
+    const auto ranks_higher = [&](const auto& each) {
         return each.first != self_ && hash_of(subject.token, hash_of(each.first)) > own;
-    });
+    };
+    return std::ranges::none_of(known.peers(), ranks_higher) &&
+           std::ranges::none_of(known.departed_peers(), ranks_higher);
 }
 
 bool cold_gate::may_open(const discovery::target& subject, double flows_per_second,
                          const discovery::directory& known, clock::time_point now) {
-    const bool is_settled = is_registered_ && now - registered_at_ >= limits_.settle;
+    const bool is_settled =
+        is_registered_ && !is_isolated_ && now - registered_at_ >= limits_.settle;
     if (!is_settled || !is_owner(subject, known)) {
         return false;
     }
--- a/libraries/steering/cold_gate.h
+++ b/libraries/steering/cold_gate.h
@@ -4,6 +4,11 @@
 // time, so one of them alone opens flows to it: the owner, found by rendezvous hashing over the
 // instances that are registered. Views of that list differ for up to a second after a change, and
 // then two instances may think so; each therefore uses less than half of what the target bears.
+//
+// Failure: an owner is cut off and its entry lapses; its successor is cut off in turn; each goes on
+// opening flows, and the third brings the target over what it bears. So an instance that hears
+// neither the store nor a peer owns nothing, and a successor waits until whoever left the list must
+// have noticed that.
 #pragma once
 
 #include <string>
@@ -32,6 +37,9 @@
     void on_registered(clock::time_point now);
     void on_registration_lost() { is_registered_ = false; }
 
+    // Whether this instance hears neither the store nor a peer.
+    void set_isolated(bool is_isolated) { is_isolated_ = is_isolated; }
+
     // Whether this instance may open a flow to the cold target now.
     bool may_open(const discovery::target& subject, double flows_per_second,
                   const discovery::directory& known, clock::time_point now);
@@ -49,6 +57,7 @@
     std::string self_;
     cold_gate_limits limits_;
     bool is_registered_ = false;
+    bool is_isolated_ = false;
     clock::time_point registered_at_;
     std::unordered_map<discovery::routing_token, allowance> allowances_;
 };
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -179,6 +179,7 @@
 void steering_daemon::consult_peers(clock::time_point now) {
     digests_.expire(now);
     confirmed_at_ = sources_.confirmed_at(feed_, mirror_.revision());
+    cold_.set_isolated(sources_.is_isolated(feed_, now));
     const bool should_watch = sources_.should_watch(feed_, now);
     feed_.set_wanted(should_watch);
     if (!is_informed_) {
--- a/tests/steering_cold_start_test.cpp
+++ b/tests/steering_cold_start_test.cpp
@@ -2,6 +2,8 @@
 // together.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "steering/cold_gate.h"
 
 namespace bramleytrack {
@@ -45,6 +47,17 @@
             }
         }
     }
+    // Instance `observer` learns that instance `subject` has left the list.
+    void forget(std::size_t observer, std::size_t subject, clock::time_point now) {
+        directories_[observer].apply(discovery::peer_removed{"instance-" + std::to_string(subject)},
+                                     ++revision_, false, now);
+    }
+    void expire(std::size_t observer, clock::time_point now) { directories_[observer].expire(now); }
+    void isolate(std::size_t subject) { gates_[subject].set_isolated(true); }
+    // The instance that opens flows to the target, as instance `observer` sees it.
+    bool is_owner(std::size_t observer, const discovery::target& subject, clock::time_point now) {
+        return gates_[observer].may_open(subject, flows_per_second, directories_[observer], now);
+    }
     void register_all(clock::time_point now) {
         for (auto& each : gates_) {
             each.on_registered(now);
@@ -116,6 +129,46 @@
     EXPECT_EQ(fleet.most_in_a_second(cold_target(11), start, clock::duration{900}), 0);
 }
 
+// The owner of a cold target is cut off from the store and from all peers, and its entry is taken
+// away. Its successor is cut off a moment later in the same way, and so is the third. Each still
+// lists those before it as gone and takes itself for the owner: the target gets three shares.
+TEST(cold_gate, owners_that_are_cut_off_one_after_the_other_do_not_add_up) {
+    constexpr std::size_t number = 5;
+    fleet_of_gates fleet{number};
+    fleet.learn_all();
+    fleet.register_all(start - clock::duration{10'000});
+    const auto subject = cold_target(11);
+    std::vector<std::size_t> cut_off;
+    for (int i = 0; i < 3; ++i) {
+        std::size_t owner = number;
+        for (std::size_t each = 0; each < number; ++each) {
+            const bool is_cut_off = std::ranges::find(cut_off, each) != cut_off.end();
+            owner = !is_cut_off && fleet.is_owner(each, subject, start) ? each : owner;
+        }
+        if (owner == number) {
+            break;  // a successor waits
+        }
+        cut_off.push_back(owner);
+        for (std::size_t observer = 0; observer < number; ++observer) {
+            if (std::ranges::find(cut_off, observer) == cut_off.end()) {
+                fleet.forget(observer, owner, start);
+            }
+        }
+    }
+    EXPECT_LE(fleet.most_in_a_second(subject, start, clock::duration{1'000}), bound);
+    // By the time at which a successor acts, whoever was cut off knows that it hears nobody.
+    for (const auto each : cut_off) {
+        fleet.isolate(each);
+    }
+    const auto later = start + clock::duration{2'500};
+    int owners = 0;
+    for (std::size_t each = 0; each < number; ++each) {
+        fleet.expire(each, later);
+        owners += fleet.is_owner(each, subject, later) ? 1 : 0;
+    }
+    EXPECT_EQ(owners, 1);
+}
+
 TEST(cold_gate, an_instance_whose_registration_lapsed_opens_nothing) {
     cold_gate gate{"a"};
     const discovery::directory known;
