Steering: Keep room for callers that ask for little

Change: caller_shares counts the requests that are open for each address; one that is above twice the mean uses three quarters of a target's limit, the same share as less urgent routes. Ruled out: counting flows (idle ones would count) or openings (long flows wouldn't); a queue for each caller, since a packet can't wait here.

--- a/libraries/steering/concurrency_limit.h
+++ b/libraries/steering/concurrency_limit.h
@@ -41,9 +41,10 @@
     // flows that are open add requests without asking: at five times the load, 1.0 left 24% of the
     // answers late, 0.6 some 12%, and 0.5 gained nothing more.
     static constexpr double goal = 0.6;
-    // What routes that are less urgent than others of their service may use of the limit. At five
-    // times the load the others fill it by themselves.
-    static constexpr double less_urgent_share = 0.75;
+    // What routes that are less urgent than others of their service may use of the limit, and
+    // callers that have more than their share. At five times the load the others fill it by
+    // themselves.
+    static constexpr double yielding_share = 0.75;
     // A target whose answers are all late still gets a flow now and then from some instance, to
     // learn that it is well.
     static constexpr clock::duration probe_interval{500};
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -55,6 +55,9 @@
             .with("target_revision", chosen->to->revision)
             .with("target_age_ms", age_of(chosen->to->changed_at, now))
             .with("open_requests", signs.open_requests);
+    } else {
+        const bool is_heavy = flows_.callers().is_heavy(content.flow.caller.address);
+        event.with("caller_over_share", is_heavy ? "yes" : "no");
     }
     log_.write(event);
 }
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -45,7 +45,7 @@
     }
     auto& flow = found == flows_.end() ? flows_[opening.flow] : found->second;
     if (flow.token != 0) {
-        release(flow);
+        release(opening.flow, flow);
     }
     flow = {.token = token,
             .opening_sequence = opening.sequence,
@@ -55,12 +55,12 @@
             .request_at = {},
             .seen_at = now,
             .is_established = false,
-            .has_open_request = true,
+            .has_open_request = false,
             .is_request_sent = false};
     auto& signs = signs_[token];
     ++signs.flows;
-    ++signs.open_requests;
     signs.opened_at = now;
+    begin_request(opening.flow, flow);
 }
 
 observation flow_watch::note_packet(const segment& content, clock::duration objective,
@@ -84,13 +84,13 @@
     if (content.length > 0) {
         note_data(flow, content, result, now);
     } else if (!is_end) {
-        note_acknowledgement(flow, objective, target, result, now);
+        note_acknowledgement(flow, content, objective, target, result, now);
     }
     if (is_after(content.acknowledged, flow.acknowledged)) {
         flow.acknowledged = content.acknowledged;
     }
     if (is_end) {
-        release(flow);
+        release(content.flow, flow);
         flows_.erase(content.flow);
     }
     return result;
@@ -112,9 +112,7 @@
         found->second.acknowledged = content.acknowledged;
         found->second.next_sequence = content.sequence;
     } else {
-        release(found->second);
-        found->second.has_open_request = false;
-        found->second.is_request_sent = false;
+        release(content.flow, found->second);
     }
     auto& flow = found->second;
     flow.token = content.token;
@@ -138,9 +136,7 @@
     if (flow.is_request_sent && !is_next) {
         return;
     }
-    auto& signs = signs_[flow.token];
-    signs.open_requests += flow.has_open_request ? 0 : 1;
-    flow.has_open_request = true;
+    begin_request(content.flow, flow);
     flow.is_request_sent = true;
     flow.request_at = now;
 }
@@ -169,9 +165,9 @@
 
 // Callers acknowledge without data only when something of the target has just arrived. An
 // acknowledgement that comes with data is no such sign: the answer may have come long before.
-void flow_watch::note_acknowledgement(flow_state& flow, clock::duration objective,
-                                      const capacity& target, observation& result,
-                                      clock::time_point now) {
+void flow_watch::note_acknowledgement(flow_state& flow, const segment& content,
+                                      clock::duration objective, const capacity& target,
+                                      observation& result, clock::time_point now) {
     auto& signs = signs_[flow.token];
     note_life(signs, now);
     if (!flow.is_request_sent) {
@@ -185,9 +181,7 @@
     }
     const auto took = static_cast<double>(result.answer_took.count());
     signs.answer_ms += signs.answer_ms == 0 ? took : (took - signs.answer_ms) * answer_weight;
-    flow.has_open_request = false;
-    flow.is_request_sent = false;
-    --signs.open_requests;
+    end_request(content.flow, flow);
 }
 
 void flow_watch::expire(clock::time_point now) {
@@ -197,10 +191,8 @@
     next_expiry_ = now + expiry_interval;
     for (auto each = flows_.begin(); each != flows_.end();) {
         auto& flow = each->second;
-        if (flow.has_open_request && now - flow.seen_at > limits_.request_silence) {
-            --signs_[flow.token].open_requests;
-            flow.has_open_request = false;
-            flow.is_request_sent = false;
+        if (now - flow.seen_at > limits_.request_silence) {
+            end_request(each->first, flow);
         }
         const auto lifetime =
             flow.is_established ? limits_.idle_lifetime : limits_.opening_lifetime;
@@ -208,9 +200,10 @@
             ++each;
             continue;
         }
-        release(flow);
+        release(each->first, flow);
         each = flows_.erase(each);
     }
+    callers_.expire(now);
     std::erase_if(signs_, [this, now](const auto& each) {
         return each.second.flows == 0 && now - each.second.opened_at > limits_.idle_lifetime;
     });
@@ -222,12 +215,28 @@
     return found == signs_.end() ? unknown : found->second;
 }
 
-void flow_watch::release(const flow_state& flow) {
-    auto& signs = signs_[flow.token];
-    --signs.flows;
+void flow_watch::begin_request(const flow_key& key, flow_state& flow) {
     if (flow.has_open_request) {
-        --signs.open_requests;
+        return;
     }
+    flow.has_open_request = true;
+    ++signs_[flow.token].open_requests;
+    callers_.on_request_begun(key.caller.address);
+}
+
+void flow_watch::end_request(const flow_key& key, flow_state& flow) {
+    flow.is_request_sent = false;
+    if (!flow.has_open_request) {
+        return;
+    }
+    flow.has_open_request = false;
+    --signs_[flow.token].open_requests;
+    callers_.on_request_ended(key.caller.address);
+}
+
+void flow_watch::release(const flow_key& key, flow_state& flow) {
+    --signs_[flow.token].flows;
+    end_request(key, flow);
 }
 
 void flow_watch::note_life(target_signs& signs, clock::time_point now) {
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "steering/caller_shares.h"
 #include "steering/concurrency_limit.h"
 #include "steering/segment.h"
 
@@ -85,6 +86,10 @@
     // The flow as seen here, if it was.
     const flow_state* find(const flow_key& key) const;
 
+    // An opening packet came, whatever becomes of it.
+    void note_asked(const flow_key& key, clock::time_point now) {
+        callers_.on_asked(key.caller.address, now);
+    }
     // The target chosen for an earlier copy of this opening packet didn't answer.
     void note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
@@ -96,6 +101,7 @@
 
     const target_signs& signs(routing_token token) const;
     const std::unordered_map<routing_token, target_signs>& all_signs() const { return signs_; }
+    const caller_shares& callers() const { return callers_; }
     std::size_t size() const { return flows_.size(); }
     // Whether callers' data reaches targets from here: some target has answered within the time in
     // which a silent one would have, and no data that was sent again has arrived after all lately.
@@ -108,14 +114,17 @@
     void note_data(flow_state& flow, const segment& content, observation& result,
                    clock::time_point now);
     void note_repeat(flow_state& flow, observation& result, clock::time_point now);
-    void note_acknowledgement(flow_state& flow, clock::duration objective, const capacity& target,
-                              observation& result, clock::time_point now);
-    void release(const flow_state& flow);
+    void note_acknowledgement(flow_state& flow, const segment& content, clock::duration objective,
+                              const capacity& target, observation& result, clock::time_point now);
+    void begin_request(const flow_key& key, flow_state& flow);
+    void end_request(const flow_key& key, flow_state& flow);
+    void release(const flow_key& key, flow_state& flow);
     void note_life(target_signs& signs, clock::time_point now);
 
     flow_watch_limits limits_;
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
     std::unordered_map<routing_token, target_signs> signs_;
+    caller_shares callers_;
     clock::time_point answered_at_;
     clock::time_point recovered_at_;  // an answer last came to data that had been sent again
     clock::time_point next_expiry_;
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -79,14 +79,15 @@
                           : decision{drop{result_code::unknown_route}},
                       0);
     }
+    flows_.note_asked(content.flow, now);
     if (content.copy > 0) {
         log_.unanswered(content, now);
         flows_.note_unanswered(content.flow, now);
     }
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
-    const auto candidates =
-        pool == nullptr ? std::vector<candidate>{} : candidates_of(*pool, *route, now);
+    const auto candidates = pool == nullptr ? std::vector<candidate>{}
+                                            : candidates_of(*pool, *route, content.flow, now);
     const auto choice = choose(candidates, flow_hash, content.copy);
     if (const auto* none = std::get_if<no_choice>(&choice)) {
         const bool has_targets = pool != nullptr && !pool->targets.empty();
@@ -216,13 +217,20 @@
            std::ranges::find(route.allowed_regions, region_of(zone)) != route.allowed_regions.end();
 }
 
+// When there isn't room for all, callers of a route that operators rank behind another one of the
+// service are turned away first, and so are callers that have more than their share already.
+double steering::share_of_limit(const discovery::pool& pool, const discovery::route& route,
+                                const flow_key& flow) const {
+    double share = 1;
+    share *= route.priority > pool.most_urgent ? concurrency_limit::yielding_share : 1;
+    share *= flows_.callers().is_heavy(flow.caller.address) ? concurrency_limit::yielding_share : 1;
+    return share;
+}
+
 std::vector<candidate> steering::candidates_of(const discovery::pool& pool,
-                                               const discovery::route& route,
+                                               const discovery::route& route, const flow_key& flow,
                                                clock::time_point now) {
-    // Callers of a route that operators rank behind another one of the service are turned away
-    // first.
-    const bool is_urgent = route.priority <= pool.most_urgent;
-    const double share = is_urgent ? 1.0 : concurrency_limit::less_urgent_share;
+    const double share = share_of_limit(pool, route, flow);
     std::vector<candidate> result;
     for (const auto* each : pool.targets) {
         if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -84,8 +84,10 @@
                                         const discovery::route* route,
                                         const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
+    double share_of_limit(const discovery::pool& pool, const discovery::route& route,
+                          const flow_key& flow) const;
     std::vector<candidate> candidates_of(const discovery::pool& pool, const discovery::route& route,
-                                         clock::time_point now);
+                                         const flow_key& flow, clock::time_point now);
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
     capacity capacity_of(const discovery::target& target) const;
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -131,6 +131,7 @@
     for (const auto& name : split(wanted.without)) {
         choice.has_limit = choice.has_limit && name != "open_request_limit";
         choice.shares_loads = choice.shares_loads && name != "shared_loads";
+        choice.knows_callers = choice.knows_callers && name != "caller_shares";
     }
     for (const auto& pattern : all_overload_patterns()) {
         if (!is_wanted(wanted, pattern.name)) {
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -23,6 +23,8 @@
 constexpr double mean_pause_ms = 300;
 constexpr double work_spread = 0.5;
 constexpr std::uint16_t request_size = 100;
+constexpr std::uint32_t generations = 16;
+constexpr std::uint32_t first_own_address = 1'000;
 
 class quiet_log final : public event_log {
 public:
@@ -53,8 +55,9 @@
     steering::segment last;  // headers of its flow
     std::size_t instance = 0;
     std::size_t host = 0;
+    std::uint32_t member = 0;
+    std::uint32_t generation = 0;  // of its flows
     bool has_flow = false;
-    bool is_new_flow = false;
     int tries = 0;
     clock::time_point asked;
 };
@@ -87,6 +90,7 @@
         const auto number = std::lround(per_second * (mean_pause_ms + pattern.work_ms) / 1000.0);
         callers_.resize(static_cast<std::size_t>(number));
         for (int i = 0; i < static_cast<int>(callers_.size()); ++i) {
+            callers_[static_cast<std::size_t>(i)].member = member_of(i);
             schedule(pause(), event_kind::ask, i);
         }
         schedule(digest_interval, event_kind::digest, 0);
@@ -103,10 +107,15 @@
         const auto share = [this](int count) {
             return asked_ == 0 ? 0.0 : static_cast<double>(count) / asked_;
         };
-        return {{.name = "in time", .value = share(in_time_)},
-                {.name = "late", .value = share(late_)},
-                {.name = "failed", .value = share(failed_)},
-                {.name = "shed by targets", .value = share(shed_)}};
+        std::vector<figure> result{{.name = "in time", .value = share(in_time_)},
+                                   {.name = "late", .value = share(late_)},
+                                   {.name = "failed", .value = share(failed_)},
+                                   {.name = "shed by targets", .value = share(shed_)}};
+        if (light_asked_ > 0) {
+            result.push_back({.name = "in time, light",
+                              .value = static_cast<double>(light_in_time_) / light_asked_});
+        }
+        return result;
     }
 
 private:
@@ -150,6 +159,12 @@
         }
     }
 
+    std::uint32_t member_of(int caller) const {
+        const auto heavy = std::lround(pattern_.heavy_share * static_cast<double>(callers_.size()));
+        const bool is_light = pattern_.members > 1 && caller >= heavy;
+        return is_light ? 1 + static_cast<std::uint32_t>(caller % (pattern_.members - 1)) : 0;
+    }
+
     static std::string name_of(int instance) { return "instance-" + std::to_string(instance); }
 
     clock::duration pause() {
@@ -167,6 +182,7 @@
                 callers_[static_cast<std::size_t>(next.subject)].asked = now_;
                 callers_[static_cast<std::size_t>(next.subject)].tries = 0;
                 ++asked_;
+                light_asked_ += is_light(next.subject) ? 1 : 0;
                 ask(next.subject);
                 break;
             case event_kind::opened:
@@ -185,6 +201,8 @@
         }
     }
 
+    bool is_light(int index) const { return callers_[static_cast<std::size_t>(index)].member > 0; }
+
     steering::decision deliver(const caller& by, const steering::segment& content) {
         return instances_[by.instance].core->on_segment(
             content, {.is_complete = true, .confirmed = now_}, now_);
@@ -202,10 +220,13 @@
             return;
         }
         subject.last = {};
-        // Each flow has a port of its own; the address changes when they have all been used.
-        ++next_port_;
-        next_address_ += next_port_ == 0 ? 1 : 0;
-        subject.last.flow.caller = {.address = next_address_, .port = next_port_};
+        // No two flows that exist have one port, and a caller's next flow has another than its
+        // last.
+        subject.generation = (subject.generation + 1) % generations;
+        const auto port = static_cast<std::uint32_t>(index) * generations + subject.generation;
+        subject.last.flow.caller = {
+            .address = choice_.knows_callers ? subject.member : first_own_address + port,
+            .port = static_cast<std::uint16_t>(port)};
         subject.last.flow.route = {.address = 1, .port = 443};
         subject.last.is_opening = true;
         subject.instance = random_() % instances_.size();
@@ -270,7 +291,9 @@
         subject.last.length = 0;
         subject.last.acknowledged += request_size;
         deliver(subject, subject.last);
-        ++(now_ - subject.asked <= pattern_.objective ? in_time_ : late_);
+        const bool is_in_time = now_ - subject.asked <= pattern_.objective;
+        ++(is_in_time ? in_time_ : late_);
+        light_in_time_ += is_in_time && is_light(index) ? 1 : 0;
         schedule(pause(), event_kind::ask, index);
     }
 
@@ -315,13 +338,13 @@
     std::vector<caller> callers_;
     std::map<discovery::routing_token, std::size_t> host_of_;
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-    std::uint16_t next_port_ = 0;
-    std::uint32_t next_address_ = 2;
     int asked_ = 0;
     int in_time_ = 0;
     int late_ = 0;
     int failed_ = 0;
     int shed_ = 0;
+    int light_asked_ = 0;
+    int light_in_time_ = 0;
 };
 
 }  // namespace
@@ -340,6 +363,16 @@
          .plays = "work that takes longer than its objective, half of what the targets bear",
          .load = 0.5,
          .work_ms = 150},
+        {.name = "steer_heavy_caller",
+         .plays = "three times what the targets bear, nine tenths of it from one of nine members",
+         .load = 3,
+         .members = 9,
+         .heavy_share = 0.9},
+        {.name = "steer_even_callers",
+         .plays = "three times what the targets bear, from nine members alike",
+         .load = 3,
+         .members = 9,
+         .heavy_share = 1.0 / 9},
     };
 }
 
--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -23,16 +23,20 @@
     double work_ms = 22;  // mean, with a spread of one half
     clock::duration objective{120};
     clock::duration length{12'000};
+    int members = 1;         // firms, each with an address of its own
+    double heavy_share = 0;  // of all load comes from the first one; the others share the rest
 };
 
 struct overload_choice {
-    bool has_limit = true;     // steering::concurrency_limit
-    bool shares_loads = true;  // digests of peers
+    bool has_limit = true;      // steering::concurrency_limit
+    bool shares_loads = true;   // digests of peers
+    bool knows_callers = true;  // steering::caller_shares; else each flow has an address of its own
 };
 
 std::vector<overload_pattern> all_overload_patterns();
 
-// "in time" is the share of requests answered within the objective, counted from the first try.
+// "in time" is the share of requests answered within the objective, counted from the first try;
+// "light" counts those of all members but the first.
 std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
                                   std::uint64_t seed);
 
--- /dev/null
+++ b/tests/steering_caller_shares_test.cpp
@@ -0,0 +1,134 @@
+// Steering: who has more of the targets' work than their fair share.
+#include <gtest/gtest.h>
+
+#include "steering/flow_watch.h"
+
+namespace bramleytrack {
+namespace {
+
+using steering::caller_share_limits;
+using steering::caller_shares;
+
+constexpr clock::time_point start = to_time_point(1'000'000);
+constexpr std::uint32_t heavy = 1;
+
+void begin(caller_shares& shares, std::uint32_t caller, int requests) {
+    for (int i = 0; i < requests; ++i) {
+        shares.on_asked(caller, start);
+        shares.on_request_begun(caller);
+    }
+}
+
+TEST(caller_shares, a_caller_well_above_the_mean_is_heavy) {
+    caller_shares shares;
+    begin(shares, heavy, 8);
+    for (std::uint32_t caller = 2; caller < 6; ++caller) {
+        begin(shares, caller, 1);
+    }
+    EXPECT_TRUE(shares.is_heavy(heavy));
+    EXPECT_FALSE(shares.is_heavy(2));
+    EXPECT_FALSE(shares.is_heavy(99));
+}
+
+TEST(caller_shares, a_lone_caller_may_use_all_there_is) {
+    caller_shares shares;
+    begin(shares, heavy, 100);
+    EXPECT_FALSE(shares.is_heavy(heavy));
+}
+
+TEST(caller_shares, few_requests_say_nothing) {
+    caller_shares shares;
+    begin(shares, heavy, 2);
+    for (std::uint32_t caller = 2; caller < 20; ++caller) {
+        shares.on_asked(caller, start);
+    }
+    EXPECT_FALSE(shares.is_heavy(heavy));
+}
+
+// One caller has taken all room, and the others are refused each time. They have nothing open, and
+// if only open requests counted, the one would look like the only caller and go on.
+TEST(caller_shares, callers_that_were_refused_count_until_they_have_gone) {
+    caller_shares shares;
+    begin(shares, heavy, 10);
+    for (std::uint32_t caller = 2; caller < 6; ++caller) {
+        shares.on_asked(caller, start);
+    }
+    EXPECT_TRUE(shares.is_heavy(heavy));
+    shares.expire(start + clock::duration{2'500});
+    EXPECT_EQ(shares.size(), 1U);
+    EXPECT_FALSE(shares.is_heavy(heavy));
+}
+
+TEST(caller_shares, requests_that_end_are_given_back) {
+    caller_shares shares;
+    begin(shares, heavy, 8);
+    for (std::uint32_t caller = 2; caller < 6; ++caller) {
+        begin(shares, caller, 1);
+    }
+    for (int i = 0; i < 8; ++i) {
+        shares.on_request_ended(heavy);
+    }
+    EXPECT_FALSE(shares.is_heavy(heavy));
+    // One end too many must not take from the others.
+    shares.on_request_ended(heavy);
+    begin(shares, heavy, 8);
+    EXPECT_TRUE(shares.is_heavy(heavy));
+}
+
+TEST(caller_shares, strangers_cannot_grow_it) {
+    caller_shares shares{caller_share_limits{.max_callers = 100}};
+    for (std::uint32_t caller = 0; caller < 10'000; ++caller) {
+        begin(shares, caller, 1);
+    }
+    EXPECT_EQ(shares.size(), 100U);
+    EXPECT_FALSE(shares.is_heavy(9'999));
+}
+
+// Openings, answers, resets and callers that fall silent each end a request in another place of the
+// code. One that is forgotten makes its caller look heavy for good.
+TEST(caller_shares, every_way_in_which_a_request_ends_is_counted) {
+    steering::flow_watch flows;
+    const auto packet = [](std::uint16_t port) {
+        steering::segment result;
+        result.flow = {.caller = {.address = heavy, .port = port},
+                       .route = {.address = 9, .port = 443}};
+        result.token = 5;
+        return result;
+    };
+    const steering::capacity target{.slots = 2, .instances = 1};
+    constexpr clock::duration objective{100};
+    for (std::uint16_t port = 1; port <= 8; ++port) {
+        auto opening = packet(port);
+        opening.is_opening = true;
+        flows.note_asked(opening.flow, start);
+        flows.note_opening(opening, 5, start);
+    }
+    for (std::uint32_t caller = 2; caller < 6; ++caller) {
+        flows.note_asked({.caller = {.address = caller, .port = 1}, .route = {}},
+                         start + clock::duration{10'000});
+    }
+    EXPECT_TRUE(flows.callers().is_heavy(heavy));
+    auto data = packet(1);
+    data.length = 10;
+    flows.note_packet(data, objective, target, start);
+    auto answer = packet(1);
+    answer.sequence = 10;
+    answer.acknowledged = 10;
+    flows.note_packet(answer, objective, target, start);
+    auto reset = packet(2);
+    reset.is_reset = true;
+    flows.note_packet(reset, objective, target, start);
+    auto closing = packet(3);
+    closing.is_closing = true;
+    flows.note_packet(closing, objective, target, start);
+    // Another target took the opening's copy, and the rest fall silent.
+    auto moved = packet(4);
+    moved.token = 6;
+    flows.note_packet(moved, objective, target, start);
+    flows.expire(start + clock::duration{10'000});
+    EXPECT_FALSE(flows.callers().is_heavy(heavy));
+    EXPECT_EQ(flows.signs(5).open_requests, 0);
+}
+
+}  // namespace
+}  // namespace bramleytrack
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -260,7 +260,7 @@
     const auto limit = limit_after(100, clock::duration{30});
     const steering::target_use use{.open = 4, .elsewhere = 0, .answer_ms = 30, .opened_at = start};
     EXPECT_TRUE(limit.has_room(use, slots, 1.0, start));
-    EXPECT_FALSE(limit.has_room(use, slots, concurrency_limit::less_urgent_share, start));
+    EXPECT_FALSE(limit.has_room(use, slots, concurrency_limit::yielding_share, start));
 }
 
 TEST(concurrency_limit, recovers_when_answers_are_in_time_again) {
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -55,6 +55,24 @@
     EXPECT_EQ(figures("steer_slow", {}).at("failed"), 0);
 }
 
+TEST(steering_overload, one_caller_with_most_of_the_load_does_not_push_the_others_out) {
+    // One of nine members asks for nine tenths of three times what the targets bear. Whoever asked
+    // most got all room that became free, and the other eight, who asked for little, were refused
+    // two times of three. They come to three tenths of what the targets bear.
+    constexpr overload_choice all_alike{.knows_callers = false};
+    const auto with = figures("steer_heavy_caller", {});
+    const auto without = figures("steer_heavy_caller", all_alike);
+    EXPECT_LT(without.at("in time, light"), 0.35);
+    EXPECT_GT(with.at("in time, light"), 0.75);
+    // What all together get is the same.
+    EXPECT_GT(with.at("in time"), 0.97 * without.at("in time"));
+}
+
+TEST(steering_overload, members_that_ask_alike_get_alike) {
+    const auto even = figures("steer_even_callers", {});
+    EXPECT_NEAR(even.at("in time"), even.at("in time, light"), 0.01);
+}
+
 TEST(steering_overload, work_that_is_always_late_is_still_done) {
     // The objective is shorter than the work. Refusing callers because every answer is late would
     // leave the targets idle.
