Steering: Judge the own path by the share of answers that came late to copies

A debugging line showed why no flow was reset: 5 to 18 flows of each dead target had sent their data a third time while others answered within 60 ms, but any answer within 3 s to data that had been sent again counted as loss of this instance's own link, and a target that takes over 200 ms for an answer brings about just that (some 3% of answers then). Change: path_health: the path is in doubt when more than a tenth of the recent answers came to repeated data, or none came for 300 ms. Copies count only when 500 ms lie between the first and the third, since an instance that stood still reads all of them at once. Ruled out: counting third copies that were answered (at a loss of one in ten they are one in a hundred, too few to see); the acknowledgements of transfers as answers (callers send them whatever this link loses). Three tests, of which two fail on the code before.

--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -130,6 +130,7 @@
     }
     flow.next_sequence = end;
     flow.repeats = 0;
+    flow.counts_as_silent = false;
     // What acknowledges more than before is the next request, though the answer to the one before
     // was acknowledged through another instance. Other data belongs to the request that is open.
     const bool is_next = is_after(content.acknowledged, flow.acknowledged);
@@ -141,23 +142,19 @@
     flow.request_at = now;
 }
 
-// Failure: this instance's own link is full, and what it forwards is lost. Every target looks
-// silent from here, and flows of targets that live would be reset.
-bool flow_watch::is_path_sound(clock::time_point now) const {
-    return now - answered_at_ <= limits_.path_life && now - recovered_at_ > limits_.path_memory;
-}
-
 void flow_watch::note_repeat(flow_state& flow, observation& result, clock::time_point now) {
     auto& signs = signs_[flow.token];
     ++flow.repeats;
     result.repeats = flow.repeats;
     const bool has_shown_life = signs.answered_at > flow.request_at;
-    if (flow.repeats < repeats_of_silence || has_shown_life) {
+    const bool has_waited = now - flow.request_at >= limits_.least_silence;
+    if (flow.repeats < repeats_of_silence || has_shown_life || !has_waited) {
         return;
     }
-    signs.silent_flows += flow.repeats == repeats_of_silence ? 1 : 0;
+    signs.silent_flows += flow.counts_as_silent ? 0 : 1;
+    flow.counts_as_silent = true;
     result.is_target_silent =
-        signs.silent_flows >= limits_.least_silent_flows && is_path_sound(now);
+        signs.silent_flows >= limits_.least_silent_flows && path_.is_sound(now);
     if (result.is_target_silent) {
         signs.shunned_until = std::max(signs.shunned_until, now + limits_.shun_for);
     }
@@ -175,7 +172,7 @@
     }
     result.is_answer = true;
     result.answer_took = now - flow.request_at;
-    recovered_at_ = flow.repeats > 0 ? now : recovered_at_;
+    path_.on_answer(flow.repeats > 0, now);
     if (objective > clock::duration{0}) {
         signs.limit.on_answer(result.answer_took, objective, signs.open_requests, target);
     }
@@ -244,7 +241,7 @@
     signs.silent_flows = 0;
     signs.shunned_until = {};
     signs.answered_at = now;
-    answered_at_ = now;
+    path_.on_life(now);
 }
 
 }  // namespace bramleytrack::steering
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "steering/caller_shares.h"
 #include "steering/concurrency_limit.h"
+#include "steering/path_health.h"
 #include "steering/segment.h"
 
 namespace bramleytrack::steering {
@@ -46,6 +47,7 @@
     bool is_established = false;
     bool has_open_request = false;  // counted in target_signs::open_requests
     bool is_request_sent = false;   // its first byte went by; request_at holds then
+    bool counts_as_silent = false;  // in target_signs::silent_flows
     int repeats = 0;                // of the newest data
 };
 
@@ -65,10 +67,9 @@
     clock::duration shun_for{1'500};
     clock::duration longest_shun{6'000};
     int least_silent_flows = 2;
-    // Third copies come 400 ms after second ones: another target must have answered meanwhile.
-    clock::duration path_life{300};
-    // An instance that loses packets itself sees some of them arrive as copies within seconds.
-    clock::duration path_memory{3'000};
+    // Callers send a third copy 600 ms after the first packet. Copies that come closer together
+    // have waited in this instance's socket while it stood still, and the target never had them.
+    clock::duration least_silence{500};
     // An opening without an answer is forgotten then: callers give it up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
@@ -103,11 +104,7 @@
     const std::unordered_map<routing_token, target_signs>& all_signs() const { return signs_; }
     const caller_shares& callers() const { return callers_; }
     std::size_t size() const { return flows_.size(); }
-    // Whether callers' data reaches targets from here: some target has answered within the time in
-    // which a silent one would have, and no data that was sent again has arrived after all lately.
-    bool is_path_sound(clock::time_point now) const;
-    // When any target last answered anything here.
-    clock::time_point answered_at() const { return answered_at_; }
+    const path_health& path() const { return path_; }
 
 private:
     flow_state* find_or_adopt(const segment& content, bool is_end, clock::time_point now);
@@ -125,8 +122,7 @@
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
     std::unordered_map<routing_token, target_signs> signs_;
     caller_shares callers_;
-    clock::time_point answered_at_;
-    clock::time_point recovered_at_;  // an answer last came to data that had been sent again
+    path_health path_;
     clock::time_point next_expiry_;
 };
 
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -251,7 +251,7 @@
 void steering_daemon::update_readiness(clock::time_point now) {
     // Failure: an instance that is cut off from everything drops what the fabric goes on sending to
     // it. One that still hears answers of targets stays: it may be all that its zone has.
-    const bool hears_targets = now - steering_.flows().answered_at() <= target_silence;
+    const bool hears_targets = now - steering_.flows().path().answered_at() <= target_silence;
     const bool is_cut_off = !hears_targets && sources_.is_isolated(feed_, now);
     const bool is_ready = belief().is_complete && !stop_.is_begun() && !is_cut_off;
     if (is_ready == is_ready_) {
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -9,6 +9,7 @@
 
 #include "steering/concurrency_limit.h"
 #include "steering/flow_watch.h"
+#include "steering/path_health.h"
 #include "steering/placement.h"
 
 namespace bramleytrack {
@@ -142,6 +143,59 @@
     EXPECT_FALSE(send_third_copy(2).is_target_silent);
 }
 
+// Four targets of eighteen die at once. The others get more work, and a few of their answers take
+// over 200 ms, so that callers send again what arrives after all. Taken for a loss of this
+// instance's own link, those few answers hid the dead targets until their entries went, seconds
+// later.
+TEST_F(silent_target, is_known_though_a_few_answers_of_others_took_long) {
+    for (std::uint16_t port = 20; port < 50; ++port) {
+        flows_.note_packet(later(port, lively, 100, 500, 40), objective, slots,
+                           start + second_copy);
+        const bool is_slow = port < 22;
+        if (is_slow) {
+            flows_.note_packet(later(port, lively, 100, 500, 40), objective, slots,
+                               start + clock::duration{400});
+        }
+        flows_.note_packet(later(port, lively, 140, 900, 0), objective, slots,
+                           start + clock::duration{500});
+    }
+    EXPECT_FALSE(send_third_copy(1).is_target_silent);
+    EXPECT_TRUE(send_third_copy(2).is_target_silent);
+}
+
+// An instance stands still for a second. All three copies of some callers' data wait in its socket,
+// and are read at once when it goes on, together with answers' acknowledgements of other flows. The
+// target never had any of them.
+TEST_F(silent_target, is_not_told_from_copies_that_waited_here) {
+    flow_watch flows;
+    const auto resumed = start + clock::duration{1'000};
+    flows.note_packet(later(9, lively, 100, 500, 40), objective, slots, start);
+    flows.note_packet(later(9, lively, 140, 900, 0), objective, slots, resumed);
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        flows.note_opening(opening(port), silent, start);
+        for (int copy = 0; copy < 3; ++copy) {
+            EXPECT_FALSE(
+                flows.note_packet(later(port, silent, 100, 500, 40), objective, slots, resumed)
+                    .is_target_silent);
+        }
+    }
+}
+
+TEST(path_health, forgets_what_was_lost_seconds_ago) {
+    steering::path_health path;
+    for (int i = 0; i < 50; ++i) {
+        path.on_answer(i % 2 == 0, start + clock::duration{i * 10});
+    }
+    EXPECT_FALSE(path.is_sound(start + clock::duration{500}));
+    auto now = start + clock::duration{500};
+    for (int i = 0; i < 400; ++i) {
+        now += clock::duration{10};
+        path.on_answer(false, now);
+    }
+    EXPECT_TRUE(path.is_sound(now));
+    EXPECT_FALSE(path.is_sound(now + clock::duration{400}));
+}
+
 TEST(flow_watch, a_slow_target_that_answers_anybody_is_not_silent) {
     // A target takes a second for each answer; callers send their data three times meanwhile. It
     // has acknowledged some other caller since, so it lives.
