Steering: End all flows of a target that has died

Cause: when a target dies, each of its callers finds out by a request that waits for its deadline; what may not be repeated is lost. Change: three flows that send their data a third time without any sign of life, while the path to others is sound, make the target dead: all its flows that this instance has seen are reset at once. Ruled out: ending flows when the entry goes (it lapses while targets live; it goes 2.3 s after the death, too late); deciding at the second copy (a slow target that lives looks the same until the third).

--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -78,6 +78,31 @@
     log_.write(event);
 }
 
+void decision_log::target_dead(const discovery::target& target, const target_signs& signs,
+                               std::size_t flows, clock::time_point now) {
+    if (!log_.admits(log_kind::belief, now)) {
+        return;
+    }
+    log_.write(log_event{"target_dead"}
+                   .with("target", target.entry.id)
+                   .with("target_zone", target.entry.zone)
+                   .with("silent_flows", signs.silent_flows)
+                   .with("answered_ms_ago", age_of(signs.answered_at, now))
+                   .with("target_age_ms", age_of(target.changed_at, now))
+                   .with("flows_ended", static_cast<std::int64_t>(flows)));
+}
+
+void decision_log::flow_ended(const flow_key& flow, const discovery::target& target,
+                              clock::time_point now) {
+    if (!log_.admits(log_kind::delivery, now)) {
+        return;
+    }
+    log_.write(flow_event("flow_ended", flow)
+                   .with("target", target.entry.id)
+                   .with("reason", name_of(result_code::target_silent))
+                   .with("version", known_.in_force().version));
+}
+
 void decision_log::unanswered(const segment& content, clock::time_point now) {
     const auto* flow = flows_.find(content.flow);
     const auto* target = flow == nullptr ? nullptr : known_.find_target(flow->token);
--- a/libraries/steering/decision_log.h
+++ b/libraries/steering/decision_log.h
@@ -21,6 +21,11 @@
                  const decision& made, std::size_t candidates, clock::time_point now);
     // A later packet that wasn't forwarded.
     void packet(const segment& content, const decision& made, clock::time_point now);
+    // All flows of a target are ended, since it has died or can't be reached.
+    void target_dead(const discovery::target& target, const target_signs& signs, std::size_t flows,
+                     clock::time_point now);
+    // One of them, which sent nothing just now.
+    void flow_ended(const flow_key& flow, const discovery::target& target, clock::time_point now);
     // A copy of an opening packet came: the target that was chosen before hasn't answered.
     void unanswered(const segment& content, clock::time_point now);
     // Nothing is written for an answer that met its objective.
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -155,6 +155,8 @@
     flow.counts_as_silent = true;
     result.is_target_silent =
         signs.silent_flows >= limits_.least_silent_flows && path_.is_sound(now);
+    result.is_target_dead =
+        result.is_target_silent && signs.silent_flows >= limits_.least_silent_flows_of_dead;
     if (result.is_target_silent) {
         signs.shunned_until = std::max(signs.shunned_until, now + limits_.shun_for);
     }
@@ -181,6 +183,29 @@
     end_request(content.flow, flow);
 }
 
+void flow_watch::forget(const flow_key& key) {
+    const auto found = flows_.find(key);
+    if (found != flows_.end()) {
+        release(key, found->second);
+        flows_.erase(found);
+    }
+}
+
+std::vector<reset> flow_watch::end_flows_of(routing_token token) {
+    std::vector<reset> result;
+    for (auto each = flows_.begin(); each != flows_.end();) {
+        auto& [key, flow] = *each;
+        if (flow.token != token || !flow.is_established) {
+            ++each;
+            continue;
+        }
+        result.push_back({.flow = key, .sequence = flow.acknowledged});
+        release(key, flow);
+        each = flows_.erase(each);
+    }
+    return result;
+}
+
 void flow_watch::expire(clock::time_point now) {
     if (now < next_expiry_) {
         return;
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "steering/caller_shares.h"
@@ -59,6 +60,9 @@
     clock::duration answer_took{0};
     int repeats = 0;                // how often the caller has sent this data before
     bool is_target_silent = false;  // see target_signs::silent_flows
+    // So many flows found it silent that all of its flows are lost, also those that ask for nothing
+    // now.
+    bool is_target_dead = false;
 };
 
 struct flow_watch_limits {
@@ -67,6 +71,8 @@
     clock::duration shun_for{1'500};
     clock::duration longest_shun{6'000};
     int least_silent_flows = 2;
+    // One more than for a single flow, as all flows of the target are ended on this word.
+    int least_silent_flows_of_dead = 3;
     // Callers send a third copy 600 ms after the first packet. Copies that come closer together
     // have waited in this instance's socket while it stood still, and the target never had them.
     clock::duration least_silence{500};
@@ -98,6 +104,10 @@
     // bears.
     observation note_packet(const segment& content, clock::duration objective,
                             const capacity& target, clock::time_point now);
+    // The flow's caller was told that it is over.
+    void forget(const flow_key& key);
+    // Forgets the target's established flows and returns what their callers are to be told.
+    std::vector<reset> end_flows_of(routing_token token);
     void expire(clock::time_point now);
 
     const target_signs& signs(routing_token token) const;
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -1,6 +1,7 @@
 #include "steering/steering.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/hash.h"
 
@@ -141,12 +142,35 @@
         observer_.on_answer(*target, seen.answer_took);
         log_.answer(content, *target, objective, seen.answer_took, now);
     }
+    if (seen.is_target_dead) {
+        end_flows_of(*target, now);
+        return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged},
+                             result_code::target_silent});
+    }
     if (const auto reason = hopeless(*target, route, seen)) {
+        flows_.forget(content.flow);
         return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged}, *reason});
     }
     return forward{target};
 }
 
+// Failure: a target dies with hundreds of open flows, and each of their callers finds out by
+// itself, by a request that waits for its deadline; what may not be repeated is then lost. Told at
+// once, a caller that asks for nothing now opens another flow for its next request, and one that
+// waits has its final answer. Each reset would break the flow of a target that lives, so three
+// flows must have found it silent while this instance's path to others was sound.
+void steering::end_flows_of(const discovery::target& target, clock::time_point now) {
+    const auto signs = flows_.signs(target.token);
+    auto ended = flows_.end_flows_of(target.token);
+    log_.target_dead(target, signs, ended.size(), now);
+    for (const auto& each : ended) {
+        const decision made = refuse{each, result_code::target_silent};
+        observer_.on_decision("established", made);
+        log_.flow_ended(each.flow, target, now);
+    }
+    std::ranges::move(ended, std::back_inserter(resets_));
+}
+
 // Failure: a route is dropped and comes back. An instance that hasn't heard of its return resets a
 // flow that was opened through another one. So only flows that were seen here before the drop are
 // ended, and only on word that is fresh.
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -69,6 +70,9 @@
              event_log& log, flow_observer& observer, steering_limits limits = {});
 
     decision on_segment(const segment& content, const belief& state, clock::time_point now);
+    // Resets of other flows than those of the packets that brought them about, for the daemon to
+    // send.
+    std::vector<reset> take_resets() { return std::exchange(resets_, {}); }
     void expire(clock::time_point now);
 
     const flow_watch& flows() const { return flows_; }
@@ -78,6 +82,7 @@
     static decision turn_away(const segment& content, no_choice reason, bool has_targets,
                               bool is_fresh);
     decision on_later_packet(const segment& content, const belief& state, clock::time_point now);
+    void end_flows_of(const discovery::target& target, clock::time_point now);
     bool is_left_by_its_route(const segment& content, const belief& state,
                               clock::time_point now) const;
     std::optional<result_code> hopeless(const discovery::target& target,
@@ -97,6 +102,7 @@
     cold_gate& cold_;
     const load_view& loads_;
     flow_watch flows_;
+    std::vector<reset> resets_;
     decision_log log_;
     flow_observer& observer_;
     steering_limits limits_;
--- a/services/bramleyctl/flow_story.cpp
+++ b/services/bramleyctl/flow_story.cpp
@@ -39,6 +39,11 @@
            field(record, "version") + ")";
 }
 
+std::string tell_ended(const log_record& record) {
+    return "flow reset with all others of " + field(record, "target") + ": " +
+           field(record, "reason") + " (version " + field(record, "version") + ")";
+}
+
 std::string tell_unanswered(const log_record& record) {
     return field(record, "target") + " left the opening unanswered for " +
            field(record, "after_ms") + " ms; it last answered anybody " +
@@ -58,6 +63,7 @@
 };
 
 constexpr std::array flow_events{teller{"opening", &tell_opening}, teller{"packet", &tell_packet},
+                                 teller{"flow_ended", &tell_ended},
                                  teller{"unanswered", &tell_unanswered},
                                  teller{"late_answer", &tell_late}};
 
@@ -148,9 +154,9 @@
         for (const auto& record : records) {
             const bool is_state =
                 states.contains(record.event) && instances_.contains(record.instance);
-            const bool is_of_target = record.event == "learned" &&
-                                      targets_.contains(record.text("target")) &&
-                                      instances_.contains(record.instance);
+            const bool is_of_target =
+                (record.event == "learned" || record.event == "target_dead") &&
+                targets_.contains(record.text("target")) && instances_.contains(record.instance);
             if ((is_state || is_of_target) && record.at >= from && record.at <= to) {
                 story_.context.push_back(
                     {.at = record.at, .instance = record.instance, .text = tell_context(record)});
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -158,6 +158,9 @@
     } else if (const auto* refused = std::get_if<steering::refuse>(&decision)) {
         send_reset(refused->answer);
     }
+    for (const auto& each : steering_.take_resets()) {
+        send_reset(each);
+    }
 }
 
 void steering_daemon::send_forward(std::span<const std::uint8_t> datagram,
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -181,6 +181,39 @@
     }
 }
 
+// A target dies with many flows. Three of them find it silent; the callers of the others, which ask
+// for nothing just then, would each lose their next request to it.
+TEST_F(silent_target, is_dead_when_three_flows_found_it_silent) {
+    for (std::uint16_t port = 3; port <= 6; ++port) {
+        flows_.note_opening(opening(port), silent, start);
+    }
+    flows_.note_packet(later(3, silent, 100, 500, 40), objective, slots, start);
+    flows_.note_packet(later(4, silent, 100, 777, 0), objective, slots, start);
+    flows_.note_packet(later(3, silent, 100, 500, 40), objective, slots, start + second_copy);
+    answer_another(start + clock::duration{500});
+    EXPECT_FALSE(send_third_copy(1).is_target_dead);
+    EXPECT_FALSE(send_third_copy(2).is_target_dead);
+    EXPECT_TRUE(send_third_copy(3).is_target_dead);
+    const auto ended = flows_.end_flows_of(silent);
+    // Flows 1 to 4; 5 and 6 are still opening, and their copies go elsewhere by themselves.
+    ASSERT_EQ(ended.size(), 4U);
+    const auto idle =
+        std::ranges::find(ended, later(4, silent, 0, 0, 0).flow, &steering::reset::flow);
+    ASSERT_NE(idle, ended.end());
+    EXPECT_EQ(idle->sequence, 777U);  // callers take resets near what they acknowledged last
+    EXPECT_EQ(flows_.signs(silent).open_requests, 2);
+    EXPECT_EQ(flows_.signs(lively).flows, 1);
+    EXPECT_TRUE(flows_.end_flows_of(silent).empty());
+}
+
+TEST_F(silent_target, is_not_dead_by_one_flow_that_repeats_itself) {
+    // One caller's address is cut off from the target; it sends its data again for seconds.
+    answer_another(start + clock::duration{500});
+    for (int copy = 0; copy < 6; ++copy) {
+        EXPECT_FALSE(send_third_copy(1).is_target_dead);
+    }
+}
+
 TEST(path_health, forgets_what_was_lost_seconds_ago) {
     steering::path_health path;
     for (int i = 0; i < 50; ++i) {
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr clock::time_point epoch = to_time_point(1'000'000);
-constexpr std::uint32_t route_address = 0xC6120001;   // 198.18.0.1
+constexpr std::uint32_t route_address = 0xC6120001;  // 198.18.0.1
+constexpr int first_caller_port = 1000;
 constexpr std::uint32_t caller_address = 0x64400007;  // 100.64.0.7
 constexpr std::uint32_t opening_sequence = 1000;
 constexpr std::uint32_t answer_size = 500;
@@ -155,8 +156,9 @@
     auto& flow = flows_[arguments[0]];
     const auto route = std::ranges::find(catalogue_.routes, arguments[1], &discovery::route::name);
     steering::segment packet;
-    packet.flow.caller = {.address = caller_address,
-                          .port = static_cast<std::uint16_t>(1000 + std::stoi(arguments[0]))};
+    packet.flow.caller = {
+        .address = caller_address,
+        .port = static_cast<std::uint16_t>(first_caller_port + std::stoi(arguments[0]))};
     packet.flow.route = route == catalogue_.routes.end()
                             ? discovery::endpoint{.address = route_address, .port = 1}
                             : route->address;
@@ -222,6 +224,11 @@
         line += "dropped, " + std::string{name_of(std::get<steering::drop>(made).reason)};
     }
     transcript_.push_back(line);
+    for (const auto& each : subject_.take_resets()) {
+        transcript_.push_back("  flow " +
+                              std::to_string(each.flow.caller.port - first_caller_port) +
+                              ": reset, sequence " + std::to_string(each.sequence));
+    }
 }
 
 bool steering_session::admits(log_kind /*kind*/, clock::time_point /*now*/) {
