Fleet: Tell an instance that has just started which targets ended lately

Change: the mirror keeps what stood under the newest 2,000 keys that went; an instance asks three peers for that after its start (GET /ended) and takes over the targets as ended, so that their tokens lead somewhere. Ruled out: asking the store (it has forgotten them); the whole state from a peer at each start (1.5 MB at the planned size). Calls to the store: none more. Left open: if all instances start in that time, nobody remembers.

--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -91,15 +91,67 @@
     }
     const bool was_absent = known.is_removed || known.revision == 0;
     markers_ -= known.is_removed ? 1 : 0;
-    known.revision = revision;
-    known.is_removed = written == nullptr;
-    const bool is_kept =
-        written != nullptr && (!is_of_use_ || is_of_use_(written->key, written->value.size()));
-    known.value = is_kept ? written->value : std::string{};
+    if (written != nullptr) {
+        take(known, *written);
+    } else {
+        take(known, std::get<removal>(offered));
+    }
     markers_ += known.is_removed ? 1 : 0;
     return written != nullptr || !was_absent;
 }
 
+void mirror::take(entry& known, const item& written) {
+    const bool is_kept = !is_of_use_ || is_of_use_(written.key, written.value.size());
+    known = {.value = is_kept ? written.value : std::string{},
+             .revision = written.revision,
+             .value_revision = written.revision,
+             .is_removed = false};
+}
+
+void mirror::take(entry& known, const removal& removed) {
+    if (!known.is_removed && !known.value.empty()) {
+        ended_.push_back(removed.key);
+    }
+    known.revision = removed.revision;
+    known.is_removed = true;
+    if (ended_.size() > max_ended_values) {
+        const auto oldest = entries_.find(ended_.front());
+        if (oldest != entries_.end() && oldest->second.is_removed) {
+            oldest->second.value.clear();
+        }
+        ended_.pop_front();
+    }
+}
+
+std::vector<ended_item> mirror::ended_items() const {
+    std::vector<ended_item> result;
+    for (const auto& [key, known] : entries_) {
+        if (known.is_removed && !known.value.empty()) {
+            result.push_back(
+                {.last = {.key = key, .value = known.value, .revision = known.value_revision},
+                 .removed_at = known.revision});
+        }
+    }
+    return result;
+}
+
+std::vector<event> mirror::learn_ended(std::span<const ended_item> told) {
+    std::vector<event> changed;
+    for (const auto& each : told) {
+        // Whatever is known of a key here is newer, or was told by another peer.
+        if (entries_.contains(each.last.key)) {
+            continue;
+        }
+        const removal removed{.key = each.last.key, .revision = each.removed_at};
+        take(each.last);
+        take(removed);
+        changed.emplace_back(each.last);
+        changed.emplace_back(removed);
+    }
+    drop_old_markers();
+    return changed;
+}
+
 void mirror::drop_old_markers() {
     if (markers_ <= max_markers) {
         return;
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -4,6 +4,7 @@
 // revision of a key changes anything, so nothing that was once known ever goes back.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,6 +17,14 @@
 
 namespace bramleytrack::store {
 
+// A key that is gone, and what stood there last.
+struct ended_item {
+    item last;
+    std::int64_t removed_at = 0;  // revision
+
+    bool operator==(const ended_item&) const = default;
+};
+
 class mirror {
 public:
     // Whether a value of this size under this key can be of use.
@@ -42,24 +51,37 @@
     // The newest word on each key that changed after `revision`, in the order of their revisions;
     // nothing when some of it may have been dropped.
     std::optional<std::vector<event>> changes_since(std::int64_t revision) const;
+    // The newest keys that went, for an instance that has just started: entries are also taken away
+    // from targets that live, and their flows go on.
+    std::vector<ended_item> ended_items() const;
+    // Takes over what isn't known here, and returns it as events: first what stood there, then its
+    // removal.
+    std::vector<event> learn_ended(std::span<const ended_item> told);
     std::size_t size() const { return entries_.size(); }
 
 private:
     struct entry {
-        std::string value;
+        std::string value;  // of a key that is gone, what stood there last, if that is kept
         std::int64_t revision = 0;
+        std::int64_t value_revision = 0;  // when the value was written
         bool is_removed = false;
     };
 
     // Removed keys stay as markers, so that an older item can't bring them back; the oldest are
     // dropped beyond this number. Hosts come and go a few thousand times a day at the planned size.
     static constexpr std::size_t max_markers = 10'000;
+    // What stood under keys that are gone: a release of a service, some hundred bytes each.
+    static constexpr std::size_t max_ended_values = 2'000;
+
     bool take(const event& offered);
+    void take(entry& known, const item& written);
+    void take(entry& known, const removal& removed);
     void drop_old_markers();
 
     value_filter is_of_use_;
     std::map<std::string, entry, std::less<>> entries_;
     std::size_t markers_ = 0;
+    std::deque<std::string> ended_;  // keys whose last value is kept, oldest first
     // Removals up to this revision may be missing: they came before the first read, or their
     // markers were dropped.
     std::int64_t floor_ = 0;
--- a/libraries/wire/bramleytrack.thrift
+++ b/libraries/wire/bramleytrack.thrift
@@ -191,7 +191,8 @@
   1: string key,
   2: binary value,
   3: i64 revision,
-  4: bool is_removed
+  4: bool is_removed,
+  5: i64 value_revision      // of a removed key whose last value is told
 }
 
 // What a peer holds of the store that the asking instance lacks.
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t pulled_bytes_per_millisecond = 300;
 constexpr clock::duration longest_pull_pause{1'000};
 constexpr std::string_view changes_path = "/changes";
+constexpr std::string_view ended_path = "/ended";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
@@ -106,7 +107,8 @@
 }
 
 void peer_exchange::serve(const net::http_request& request, const net::http_responder& respond) {
-    if (request.path != changes_path) {
+    const bool is_known = request.path == changes_path || request.path == ended_path;
+    if (!is_known) {
         respond({.status = http_not_found, .body = ""});
         return;
     }
@@ -114,6 +116,11 @@
         respond({.status = http_unavailable, .body = ""});
         return;
     }
+    if (request.path == ended_path) {
+        respond(
+            {.status = http_ok, .body = ended_items(), .content_type = "application/octet-stream"});
+        return;
+    }
     const auto text = request.query_or("after", "0");
     std::int64_t after = 0;
     (void)std::from_chars(text.data(), text.data() + text.size(), after);  // 0: tell everything
@@ -151,6 +158,50 @@
     return kept_answer_;
 }
 
+std::string peer_exchange::ended_items() const {
+    wire::store_changes answer;
+    answer.revision = mirror_.revision();
+    for (const auto& each : mirror_.ended_items()) {
+        auto& record = answer.records.emplace_back();
+        record.key = each.last.key;
+        record.value = each.last.value;
+        record.value_revision = each.last.revision;
+        record.revision = each.removed_at;
+        record.is_removed = true;
+    }
+    return wire::encode_store_changes(answer, key_);
+}
+
+void peer_exchange::ask_for_ended(const fleet::pull& from, ended_callback done) {
+    http_.get("http://" + from.address + std::string{ended_path}, pull_limit,
+              [this, peer = from.peer, done = std::move(done)](const net::http_result& answer) {
+                  on_ended(peer, answer, done);
+              });
+}
+
+void peer_exchange::on_ended(const std::string& peer, const net::http_result& answer,
+                             const ended_callback& done) {
+    const auto now = clock::now();
+    const auto decoded =
+        answer.status == http_ok
+            ? wire::decode_store_changes(answer.body, key_)
+            : std::variant<wire::store_changes, result_code>{result_code::store_unavailable};
+    const auto* changes = std::get_if<wire::store_changes>(&decoded);
+    std::vector<store::ended_item> told;
+    if (changes != nullptr) {
+        for (const auto& each : changes->records) {
+            told.push_back(
+                {.last = {.key = each.key, .value = each.value, .revision = each.value_revision},
+                 .removed_at = each.revision});
+        }
+    }
+    log_.write(log_event{"asked_for_ended"}
+                   .with("peer", peer)
+                   .with("answered", changes == nullptr ? "no" : "yes")
+                   .with("records", static_cast<std::int64_t>(told.size())));
+    done(told, now);
+}
+
 void peer_exchange::fetch(const fleet::pull& from, clock::time_point now) {
     if (is_pulling_ || now < next_pull_) {
         return;
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -5,6 +5,7 @@
 #include <ev++.h>
 
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,10 @@
     void tick(const digest_facts& facts, const steering::flow_watch& flows, clock::time_point now);
     // Fetches from a peer unless a pull is under way.
     void fetch(const fleet::pull& from, clock::time_point now);
+    // Asks a peer which keys have ended lately; `done` is called in any case.
+    using ended_callback =
+        std::function<void(std::span<const store::ended_item> told, clock::time_point now)>;
+    void ask_for_ended(const fleet::pull& from, ended_callback done);
     // Asks one of the seeds, for a start while the store is away.
     void fetch_from_seed(clock::time_point now);
 
@@ -62,6 +67,9 @@
     void on_datagram(std::span<const std::uint8_t> datagram);
     void serve(const net::http_request& request, const net::http_responder& respond);
     const std::string& changes_since(std::int64_t after);
+    std::string ended_items() const;
+    void on_ended(const std::string& peer, const net::http_result& answer,
+                  const ended_callback& done);
     void on_answer(const std::string& peer, const net::http_result& answer, clock::time_point sent);
 
     std::string name_;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 
 #include "base/hash.h"
 #include "belief_log.h"
@@ -53,6 +54,7 @@
       cold_{settings_.name},
       digests_{directory_, settings_.name, seed_of(settings_.name)},
       sources_{directory_, digests_, settings_.name},
+      newcomer_{directory_, settings_.name},
       steering_{{.zone = settings_.zone, .regions = settings_.zones},
                 directory_,
                 cold_,
@@ -130,6 +132,7 @@
     feed_.tick(now);
     if (is_informed_ && !stop_.is_begun()) {
         registration_.tick(now);
+        ask_what_ended();
     }
     steering_.expire(now);
     directory_.expire(now);
@@ -198,6 +201,24 @@
                    steering_.flows(), now);
 }
 
+void steering_daemon::ask_what_ended() {
+    const auto peer = newcomer_.next();
+    if (!peer) {
+        return;
+    }
+    exchange_.ask_for_ended(
+        *peer, [this](std::span<const store::ended_item> told, clock::time_point now) {
+            newcomer_.on_answer();
+            // Only targets have flows that go on; peers and zones that went are gone.
+            std::vector<store::ended_item> targets;
+            std::ranges::copy_if(told, std::back_inserter(targets), [this](const auto& each) {
+                return std::holds_alternative<discovery::target_entry>(
+                    parts_.records.read(each.last.key, each.last.value));
+            });
+            take_changes(mirror_.learn_ended(targets), now);
+        });
+}
+
 void steering_daemon::on_pulled(const peer_exchange::pulled& changes, clock::time_point now) {
     const auto changed = changes.is_whole ? mirror_.replace(changes.items, changes.revision)
                                           : mirror_.apply(changes.events);
@@ -209,6 +230,12 @@
 void steering_daemon::on_store_change(std::span<const store::event> events, clock::time_point now) {
     is_informed_ = true;
     confirmed_at_ = sources_.confirmed_at(feed_, mirror_.revision());
+    take_changes(events, now);
+    update_readiness(now);
+    consult_peers(now);  // peers learn of it without waiting for the next tick
+}
+
+void steering_daemon::take_changes(std::span<const store::event> events, clock::time_point now) {
     for (const auto& each : events) {
         if (const auto* written = std::get_if<store::item>(&each)) {
             apply(parts_.records.read(written->key, written->value), written->revision, now);
@@ -220,8 +247,6 @@
             apply(parts_.records.read_removal(removed.key), removed.revision, now);
         }
     }
-    update_readiness(now);
-    consult_peers(now);  // peers learn of it without waiting for the next tick
 }
 
 void steering_daemon::apply(const discovery::record& subject, std::int64_t revision,
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -10,6 +10,7 @@
 
 #include "discovery/directory.h"
 #include "discovery/registration.h"
+#include "fleet/newcomer.h"
 #include "fleet/peer_digests.h"
 #include "fleet/sources.h"
 #include "fleet/stop_plan.h"
@@ -48,9 +49,11 @@
     void on_terminate(ev::sig& watcher, int events);
     void on_reload(ev::sig& watcher, int events);
     void on_datagram(std::span<const std::uint8_t> datagram);
+    void take_changes(std::span<const store::event> events, clock::time_point now);
     void on_store_change(std::span<const store::event> events, clock::time_point now);
     void on_pulled(const peer_exchange::pulled& changes, clock::time_point now);
     void consult_peers(clock::time_point now);
+    void ask_what_ended();
     void on_store_state(bool is_reachable, result_code reason, int attempts, clock::time_point now);
     void on_registration(bool is_held, result_code reason, clock::time_point now);
     void apply(const discovery::record& subject, std::int64_t revision, clock::time_point now);
@@ -76,6 +79,7 @@
     steering::cold_gate cold_;
     fleet::peer_digests digests_;
     fleet::sources sources_;
+    fleet::newcomer newcomer_;
     steering::steering steering_;
     steering::pause_guard pauses_;
     store::feed feed_;
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -132,5 +132,51 @@
     EXPECT_TRUE(known.apply(std::vector<event>{written("a", 2)}).empty());
 }
 
+// Half of the targets' heartbeats are lost, and entries of live targets go. An instance that starts
+// then has never seen them: it drops the packets of their open flows until their next heartbeat.
+TEST(store_mirror, tells_a_newcomer_what_stood_under_keys_that_went) {
+    mirror known;
+    known.replace(std::vector{written("a", 4), written("b", 5)}, 5);
+    known.apply(std::vector<event>{removal{.key = "a", .revision = 7}});
+    const auto told = known.ended_items();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front(), (store::ended_item{.last = written("a", 4), .removed_at = 7}));
+
+    mirror newcomer;
+    newcomer.replace(std::vector{written("b", 5)}, 7);
+    const auto changed = newcomer.learn_ended(told);
+    ASSERT_EQ(changed.size(), 2U);
+    EXPECT_EQ(std::get<item>(changed[0]), written("a", 4));
+    EXPECT_EQ(std::get<removal>(changed[1]).revision, 7);
+    EXPECT_EQ(newcomer.items().size(), 1U);
+    EXPECT_EQ(newcomer.ended_items(), told);
+    // A second peer tells the same, and nothing changes.
+    EXPECT_TRUE(newcomer.learn_ended(told).empty());
+    // Its next heartbeat lists it again.
+    EXPECT_EQ(newcomer.apply(std::vector<event>{written("a", 9)}).size(), 1U);
+    EXPECT_TRUE(newcomer.ended_items().empty());
+}
+
+TEST(store_mirror, what_is_known_is_not_undone_by_what_a_peer_remembers) {
+    mirror newcomer;
+    newcomer.replace(std::vector{written("a", 9)}, 9);
+    EXPECT_TRUE(
+        newcomer
+            .learn_ended(std::vector<store::ended_item>{{.last = written("a", 4), .removed_at = 7}})
+            .empty());
+    EXPECT_EQ(newcomer.items().size(), 1U);
+}
+
+TEST(store_mirror, remembers_a_bounded_number_of_values_that_went) {
+    mirror known;
+    constexpr int many = 5'000;
+    for (int i = 1; i <= many; ++i) {
+        const auto key = "k" + std::to_string(i);
+        known.apply(std::vector<event>{item{.key = key, .value = "v", .revision = 2 * i},
+                                       removal{.key = key, .revision = 2 * i + 1}});
+    }
+    EXPECT_EQ(known.ended_items().size(), 2'000U);
+}
+
 }  // namespace
 }  // namespace bramleytrack
