Standins: Play a randomized soak with real processes

Change: standins/soak: links that lose, delay, cut one way, silence or reset; processes that are killed, paused, told to stop and to reload; a store that is down, silent, slow, forgets, loses answers and entries; changes, zones out and drains. A storm, then a calm in which all must work again. Instances may advertise other addresses than they bind, which the links need. Stand-in targets number their flows apart and close them when they drain.

--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -47,6 +47,19 @@
              "a text of at least 12 characters"},
 };
 
+struct optional_address {
+    std::string_view name;
+    std::string steering_settings::*member;
+    std::string steering_settings::*otherwise;  // holds when the key is missing
+};
+
+constexpr std::array optional_addresses{
+    optional_address{"advertised_peer_address", &steering_settings::advertised_peer_address,
+                     &steering_settings::peer_address},
+    optional_address{"advertised_pull_address", &steering_settings::advertised_pull_address,
+                     &steering_settings::pull_address},
+};
+
 struct seconds_key {
     std::string_view name;
     clock::duration steering_settings::*member;
@@ -128,6 +141,21 @@
             faults.push_back(expected(root, each.name, each.allowed));
         }
     }
+    for (const auto& each : optional_addresses) {
+        names.push_back(each.name);
+        result.*each.member = result.*each.otherwise;
+        const auto found = root.find(each.name);
+        if (found == root.end()) {
+            continue;
+        }
+        const bool is_valid = found->is_string() && configuration::is_numeric_address(
+                                                        found->get_ref<const std::string&>());
+        if (is_valid) {
+            result.*each.member = found->get<std::string>();
+        } else {
+            faults.push_back(expected(root, each.name, address_allowed));
+        }
+    }
     for (const auto& each : seconds_keys) {
         names.push_back(each.name);
         const auto found = root.find(each.name);
--- a/libraries/settings/steering_settings.h
+++ b/libraries/settings/steering_settings.h
@@ -17,11 +17,14 @@
     std::string name;
     std::string zone;
     std::map<std::string, std::string, std::less<>> zones;  // the region of each availability zone
-    std::string packet_address;      // UDP, callers' packets by way of the fabric
-    std::string readiness_address;   // HTTP, any path: 200 while new flows are wanted here
-    std::string metrics_address;     // HTTP: /metrics
-    std::string peer_address;        // UDP, digests of other instances
-    std::string pull_address;        // HTTP, other instances fetch what they lack
+    std::string packet_address;     // UDP, callers' packets by way of the fabric
+    std::string readiness_address;  // HTTP, any path: 200 while new flows are wanted here
+    std::string metrics_address;    // HTTP: /metrics
+    std::string peer_address;       // UDP, digests of other instances
+    std::string pull_address;       // HTTP, other instances fetch what they lack
+    // Where peers reach the two addresses above, when that isn't where this instance listens.
+    std::string advertised_peer_address;
+    std::string advertised_pull_address;
     std::vector<std::string> seeds;  // pull addresses of some instances, which may be stale
     std::string store_address;       // HTTP, the platform's store
     std::string fleet_passphrase;    // authenticates peers
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -87,30 +87,29 @@
     }
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
-    const auto candidates = pool == nullptr ? std::vector<candidate>{}
-                                            : candidates_of(*pool, *route, content.flow, now);
-    const auto choice = choose(candidates, flow_hash, content.copy);
+    const auto targets =
+        pool == nullptr ? eligible_targets{} : eligible(*pool, *route, content.flow, now);
+    const auto choice = choose(targets.candidates, flow_hash, content.copy);
     if (const auto* none = std::get_if<no_choice>(&choice)) {
-        const bool has_targets = pool != nullptr && !pool->targets.empty();
-        return finish(turn_away(content, *none, has_targets, is_fresh), candidates.size());
+        return finish(turn_away(content, *none, targets.is_any_cold, is_fresh),
+                      targets.candidates.size());
     }
-    const auto chosen = std::get<std::size_t>(choice);
-    const auto& target = *candidates[chosen].subject;
+    const auto& target = *targets.candidates[std::get<std::size_t>(choice)].subject;
     cold_.note_opened(target, now);
     flows_.note_opening(content, target.token, now);
-    return finish(forward{&target}, candidates.size());
+    return finish(forward{&target}, targets.candidates.size());
 }
 
 // A caller that can't be served in time learns so now: its wait would delay the others, and the
 // refusal is true, since nothing has run. A cold target may take the copy of the packet in 200 ms,
-// so without room there alone, silence is better; and so it is while a target may have come that
-// isn't known here.
-decision steering::turn_away(const segment& content, no_choice reason, bool has_targets,
+// so when all that could serve are cold, silence is better; and so it is while a target may have
+// come that isn't known here.
+decision steering::turn_away(const segment& content, no_choice reason, bool is_any_cold,
                              bool is_fresh) {
     if (reason == no_choice::saturated) {
         return refuse{{.flow = content.flow}, result_code::queue_full};
     }
-    if (!has_targets && is_fresh) {
+    if (is_fresh && !is_any_cold) {
         return refuse{{.flow = content.flow}, result_code::no_eligible_target};
     }
     return drop{result_code::no_eligible_target};
@@ -251,11 +250,11 @@
     return share;
 }
 
-std::vector<candidate> steering::candidates_of(const discovery::pool& pool,
-                                               const discovery::route& route, const flow_key& flow,
-                                               clock::time_point now) {
+steering::eligible_targets steering::eligible(const discovery::pool& pool,
+                                              const discovery::route& route, const flow_key& flow,
+                                              clock::time_point now) {
     const double share = share_of_limit(pool, route, flow);
-    std::vector<candidate> result;
+    eligible_targets result;
     for (const auto* each : pool.targets) {
         if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
             !is_allowed(route, each->entry.zone)) {
@@ -265,6 +264,7 @@
             each->is_cold(now) &&
             !cold_.may_open(*each, pool.description.cold_flows_per_second, known_, now);
         if (is_barred) {
+            result.is_any_cold = true;
             continue;
         }
         const auto& signs = flows_.signs(each->token);
@@ -272,16 +272,17 @@
                              .elsewhere = loads_.open_elsewhere(each->token, now),
                              .answer_ms = signs.answer_ms,
                              .opened_at = signs.opened_at};
-        result.push_back({.subject = each,
-                          .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
-                          .is_near = each->entry.zone == place_.zone,
-                          .is_shunned = now < signs.shunned_until ||
-                                        loads_.is_silent_elsewhere(each->token, now),
-                          .has_room = signs.limit.has_room(use, capacity_of(*each), share, now),
-                          .load = (use.open + use.elsewhere + 1) / std::max(1, each->entry.slots),
-                          .answer_ms = signs.answer_ms});
+        result.candidates.push_back(
+            {.subject = each,
+             .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
+             .is_near = each->entry.zone == place_.zone,
+             .is_shunned =
+                 now < signs.shunned_until || loads_.is_silent_elsewhere(each->token, now),
+             .has_room = signs.limit.has_room(use, capacity_of(*each), share, now),
+             .load = (use.open + use.elsewhere + 1) / std::max(1, each->entry.slots),
+             .answer_ms = signs.answer_ms});
     }
-    weigh_by_answer_time(result);
+    weigh_by_answer_time(result.candidates);
     return result;
 }
 
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -79,7 +79,13 @@
 
 private:
     decision on_opening(const segment& content, const belief& state, clock::time_point now);
-    static decision turn_away(const segment& content, no_choice reason, bool has_targets,
+    // The targets that may take a flow now.
+    struct eligible_targets {
+        std::vector<candidate> candidates;
+        bool is_any_cold = false;  // and barred for that reason alone
+    };
+
+    static decision turn_away(const segment& content, no_choice reason, bool is_any_cold,
                               bool is_fresh);
     decision on_later_packet(const segment& content, const belief& state, clock::time_point now);
     void end_flows_of(const discovery::target& target, clock::time_point now);
@@ -91,8 +97,8 @@
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
     double share_of_limit(const discovery::pool& pool, const discovery::route& route,
                           const flow_key& flow) const;
-    std::vector<candidate> candidates_of(const discovery::pool& pool, const discovery::route& route,
-                                         const flow_key& flow, clock::time_point now);
+    eligible_targets eligible(const discovery::pool& pool, const discovery::route& route,
+                              const flow_key& flow, clock::time_point now);
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
     capacity capacity_of(const discovery::target& target) const;
--- a/meta/bramleytrack.sh
+++ b/meta/bramleytrack.sh
@@ -4,7 +4,8 @@
 #                                          loopback stand-ins, with changes and faults, and a verdict
 #   run [--shape association|collective] [--scenario NAME]
 #                                          the same for a fleet that routes by owners
-#   test                                   formatter, linter, build and tests, plain and sanitized
+#   test                                   formatter, linter, build and tests, plain and sanitized, and a short soak
+#   soak [FIRST LAST [OPTION...]]          seeds of the soak, four at a time; options are standin_soak's
 #   build | format | lint | unit | sanitized | generate   the single steps
 set -euo pipefail
 
@@ -94,10 +95,34 @@
     sed -i -E 's/^enum ([a-z_]+) \{/enum \1 : int {/' libraries/wire/generated/bramleytrack_types.h
 }
 
+# Each seed keeps its settings and logs in a folder of its own, which is named when it failed.
+run_soak() { # first seed, last seed, options of standin_soak
+    local first=$1 last=$2 folder failed=0 seed
+    shift 2
+    folder=$(mktemp -d)
+    say "soak, seeds $first to $last"
+    seq "$first" "$last" | xargs -P 4 -I{} sh -c '
+        program=$1 folder=$2/$3
+        shift 3
+        "$program" --workspace "$folder" --seed "${folder##*/}" "$@" >"$folder.out" 2>"$folder.err" ||
+            echo "$folder" >>"${folder%/*}/failed"' _ "$build/standin_soak" "$folder" {} "$@"
+    for seed in $(seq "$first" "$last"); do
+        cat "$folder/$seed.out"
+    done
+    if [[ -f $folder/failed ]]; then
+        failed=$(wc -l <"$folder/failed")
+        say "$failed seeds broke a promise; settings and logs are in"
+        cat "$folder/failed" >&2
+        return 1
+    fi
+    rm -rf "$folder"
+}
+
 run_all_tests() {
     install_packages
     check_format
     run_unit
+    run_soak 1 2 --storm-seconds 5
     check_lint
     run_sanitized
 }
@@ -124,6 +149,7 @@
     sanitized) run_sanitized ;;
     fleet) run_fleet "$@" ;;
     steering-fleet) run_steering_fleet ;;
+    soak) build_all; run_soak "${1:-1}" "${2:-50}" "${@:3}" ;;
     generate) generate ;;
-    *) sed -n '2,7s/^# \{0,1\}//p' "$0"; exit 2 ;;
+    *) sed -n '2,8s/^# \{0,1\}//p' "$0"; exit 2 ;;
 esac
--- a/services/bramleyd/main.cpp
+++ b/services/bramleyd/main.cpp
@@ -50,8 +50,8 @@
     platform_adapter::adapter platform{loop, *net::parse_address(settings.store_address)};
     const discovery::peer_entry own_entry{.name = settings.name,
                                           .zone = settings.zone,
-                                          .address = settings.peer_address,
-                                          .pull_address = settings.pull_address};
+                                          .address = settings.advertised_peer_address,
+                                          .pull_address = settings.advertised_pull_address};
     steering_daemon process{loop,
                             settings,
                             {.packets = platform.packets(),
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -64,7 +64,7 @@
                    }},
       http_{loop},
       incarnation_{to_milliseconds(clock::now())} {
-    std::erase(seeds_, settings.pull_address);
+    std::erase(seeds_, settings.advertised_pull_address);
 }
 
 void peer_exchange::tick(const digest_facts& facts, const steering::flow_watch& flows,
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -1,9 +1,5 @@
 // standin_fleet: writes the settings of a whole fleet on free loopback ports, and tells the
 // platform stand-in about instances and faults. It starts nothing; meta/bramleytrack.sh does.
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -12,6 +8,7 @@
 #include "configuration/parse.h"
 #include "net/http_client.h"
 #include "net/udp_endpoint.h"
+#include "port_source.h"
 #include "settings/command_line.h"
 
 namespace bramleytrack::standins {
@@ -21,41 +18,6 @@
 
 constexpr clock::duration http_timeout{2'000};
 
-// Free ports that stay distinct because all are held until the end of the process.
-class port_source {
-public:
-    ~port_source() {
-        for (const int each : held_) {
-            close(each);
-        }
-    }
-    port_source() = default;
-    port_source(const port_source&) = delete;
-    port_source& operator=(const port_source&) = delete;
-
-    std::string take() {
-        // TCP and UDP have spaces of their own: a port is taken when it is free in both.
-        while (true) {
-            const int stream = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-            const int datagrams = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-            held_.push_back(stream);
-            held_.push_back(datagrams);
-            auto address = *net::parse_address("127.0.0.1:0");
-            socklen_t size = sizeof(address);
-            auto* generic = reinterpret_cast<sockaddr*>(&address);
-            if (bind(stream, generic, size) != 0 || getsockname(stream, generic, &size) != 0) {
-                continue;
-            }
-            if (bind(datagrams, generic, size) == 0) {
-                return net::to_string(address);
-            }
-        }
-    }
-
-private:
-    std::vector<int> held_;
-};
-
 void write(const std::string& path, const std::string& text) {
     std::ofstream{path} << text << '\n';
 }
--- a/standins/flow_caller/flow_caller.cpp
+++ b/standins/flow_caller/flow_caller.cpp
@@ -37,8 +37,8 @@
       own_address_{host_of(options_.address)},
       router_{loop, std::move(instances)},
       packets_{loop, options_.address,
-               [this](std::string_view, std::span<const std::uint8_t> datagram) {
-                   on_datagram(datagram);
+               [this](std::string_view sender, std::span<const std::uint8_t> datagram) {
+                   on_datagram(sender, datagram);
                }},
       random_{static_cast<std::uint64_t>(options_.seed)},
       ticker_{loop} {
@@ -127,7 +127,7 @@
     return false;
 }
 
-void flow_caller::on_datagram(std::span<const std::uint8_t> datagram) {
+void flow_caller::on_datagram(std::string_view sender, std::span<const std::uint8_t> datagram) {
     const auto packet = decode(datagram);
     if (!packet || packet->destination != own_address_) {
         return;
@@ -137,20 +137,28 @@
         return;
     }
     if (packet->has(flag_rst)) {
-        on_reset(found->second, *packet);
+        on_reset(found->second, *packet, sender);
         flows_.erase(found);
         return;
     }
     on_packet(found->first, found->second, *packet);
 }
 
-void flow_caller::on_reset(flow& subject, const flow_packet& packet) {
-    const bool is_from_balancer = packet.sum == 0;
+void flow_caller::on_reset(const flow& subject, const flow_packet& packet,
+                           std::string_view sender) {
     if (subject.at == step::opening) {
         ++tally_.refused;
         return;
     }
+    const bool is_from_balancer = packet.sum == 0;
     ++(is_from_balancer ? tally_.reset_by_balancer : tally_.reset_by_target)[subject.target];
+    if (reset_) {
+        reset_({.target = subject.target,
+                .sender = std::string{sender},
+                .is_from_balancer = is_from_balancer,
+                .opening_copies = subject.copies,
+                .opened_at = subject.opened_at});
+    }
 }
 
 void flow_caller::on_packet(std::uint16_t port, flow& subject, const flow_packet& packet) {
@@ -158,6 +166,7 @@
     if (packet.has(flag_syn)) {
         if (subject.at == step::opening) {
             ++tally_.opened;
+            subject.opened_at = clock::now();
             subject.acknowledged = packet.sequence + 1;
             subject.at = step::idle;
             subject.idle_until = clock::now();
@@ -189,6 +198,7 @@
     std::uniform_int_distribution<int> pause{shortest_pause_ms, longest_pause_ms};
     subject.at = step::idle;
     subject.idle_until = now + clock::duration{pause(random_)};
+    subject.requests_left = packet.has(flag_fin) ? 0 : subject.requests_left;
 }
 
 void flow_caller::send(std::uint16_t port, flow& subject, std::uint8_t flags, std::string data) {
--- a/standins/flow_caller/flow_caller.h
+++ b/standins/flow_caller/flow_caller.h
@@ -4,6 +4,7 @@
 
 #include <ev++.h>
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -30,6 +31,15 @@
     int seed = 1;
 };
 
+// A reset of a flow that was open.
+struct flow_reset {
+    std::string target;  // that the flow was open at; empty when it hadn't answered a request yet
+    std::string sender;  // ip:port of the process that sent it
+    bool is_from_balancer = false;
+    int opening_copies = 0;  // that the caller sent; two targets may have taken the flow then
+    clock::time_point opened_at;
+};
+
 struct caller_tally {
     int asked = 0;
     int answered = 0;
@@ -49,6 +59,9 @@
                 std::vector<router::instance> instances);
 
     const caller_tally& results() const { return tally_; }
+    void on_reset(std::function<void(const flow_reset& what)> callback) {
+        reset_ = std::move(callback);
+    }
     // No new requests begin.
     void stop() { is_stopping_ = true; }
 
@@ -65,6 +78,7 @@
         std::string request;
         std::string target;  // that answered last
         flow_packet last_sent;
+        clock::time_point opened_at;
         clock::time_point started;  // of the opening or the request
         clock::time_point repeat_at;
         clock::duration repeat_after{0};
@@ -72,9 +86,9 @@
     };
 
     void on_tick(ev::timer& watcher, int events);
-    void on_datagram(std::span<const std::uint8_t> datagram);
+    void on_datagram(std::string_view sender, std::span<const std::uint8_t> datagram);
     void on_packet(std::uint16_t port, flow& subject, const flow_packet& packet);
-    void on_reset(flow& subject, const flow_packet& packet);
+    void on_reset(const flow& subject, const flow_packet& packet, std::string_view sender);
     void on_answer(flow& subject, const flow_packet& packet);
     void open_one(clock::time_point now);
     void begin_request(std::uint16_t port, flow& subject, clock::time_point now);
@@ -92,6 +106,7 @@
     std::uint16_t next_port_ = 20'000;
     std::int64_t last_request_ = 0;
     caller_tally tally_;
+    std::function<void(const flow_reset& what)> reset_;
     bool is_stopping_ = false;
     ev::timer ticker_;
 };
--- a/standins/flow_target/flow_target.cpp
+++ b/standins/flow_target/flow_target.cpp
@@ -1,5 +1,6 @@
 #include "flow_target/flow_target.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -60,14 +61,39 @@
 }
 
 std::string flow_target::entry() const {
+    // Heartbeats that say nothing new leave the entry alone, so the time is that of the start.
+    const bool is_cold = cold_for(clock::now()) > clock::duration{0};
     return nlohmann::json{
-        {"service", options_.service}, {"address", options_.address},
-        {"zone", options_.zone},       {"version", "v1"},
-        {"slots", options_.slots},     {"state", is_draining_ ? "draining" : "ready"},
-        {"cold_remaining_ms", 0},      {"seq", is_draining_ ? 2 : 1}}
+        {"service", options_.service},
+        {"address", options_.advertised.empty() ? options_.address : options_.advertised},
+        {"zone", options_.zone},
+        {"version", "v1"},
+        {"slots", options_.slots},
+        {"state", is_draining_ ? "draining" : "ready"},
+        {"cold_remaining_ms", is_cold ? options_.cold_ms : 0},
+        {"born", to_milliseconds(started_at_)},
+        {"seq", is_draining_ ? 2 : 1}}
         .dump();
 }
 
+clock::duration flow_target::cold_for(clock::time_point now) const {
+    return started_at_ + clock::duration{options_.cold_ms} - now;
+}
+
+void flow_target::count_opening(clock::time_point now) {
+    constexpr clock::duration window{1'000};
+    ++opened_;
+    opened_while_draining_ += is_draining_ && now - draining_since_ > drain_bound ? 1 : 0;
+    if (cold_for(now) <= clock::duration{0}) {
+        return;
+    }
+    cold_openings_.push_back(now);
+    while (now - cold_openings_.front() >= window) {
+        cold_openings_.pop_front();
+    }
+    most_cold_openings_ = std::max(most_cold_openings_, cold_openings_.size());
+}
+
 void flow_target::on_tick(ev::timer& /*watcher*/, int /*events*/) {
     http_.put("http://" + options_.store + "/put?key=servers/" + options_.id, entry(), http_limit,
               [](const net::http_result&) {
@@ -96,12 +122,13 @@
 }
 
 void flow_target::on_opening(const std::string& key, const flow_packet& packet) {
-    opened_while_draining_ +=
-        is_draining_ && clock::now() - draining_since_ > drain_bound && !flows_.contains(key) ? 1
-                                                                                              : 0;
+    if (!flows_.contains(key)) {
+        count_opening(clock::now());
+    }
     auto& subject = flows_[key];
-    constexpr std::uint32_t first_sequence = 5000;
-    subject.sequence = first_sequence;
+    // Different at each target, so that a packet shows which of two that opened a flow is meant.
+    subject.sequence = static_cast<std::uint32_t>(identity_ << byte_bits);
+    subject.opened_with = subject.sequence;
     subject.expected = packet.sequence + 1;
     subject.echo = packet.echo;
     send(subject, packet, flag_syn | flag_ack, {});
@@ -110,7 +137,12 @@
 
 void flow_target::on_packet(const std::string& key, const flow_packet& packet) {
     const auto found = flows_.find(key);
-    if (found == flows_.end()) {
+    // The flow opened at the target whose number the caller acknowledges; another one that took a
+    // copy of the opening doesn't hold it.
+    const bool is_held =
+        found != flows_.end() &&
+        (found->second.is_open || packet.acknowledged == found->second.opened_with + 1);
+    if (!is_held) {
         reply_reset(packet);
         return;
     }
@@ -145,7 +177,10 @@
             const auto id = done.request.substr(0, done.request.find(' '));
             auto& subject = found->second;
             const auto answer = id + " " + options_.id;
-            send(subject, callers_[done.flow], flag_ack, answer);
+            // A target that drains closes each flow after its next answer.
+            const auto flags =
+                static_cast<std::uint8_t>(is_draining_ ? flag_ack | flag_fin : flag_ack);
+            send(subject, callers_[done.flow], flags, answer);
             subject.sequence += static_cast<std::uint32_t>(answer.size());
         }
     }
@@ -194,10 +229,12 @@
     for (const auto& [id, count] : runs_) {
         runs[id] = count;
     }
-    respond(
-        {.status = 200,
-         .body = nlohmann::json{{"runs", runs}, {"opened_while_draining", opened_while_draining_}}
-                     .dump()});
+    respond({.status = 200,
+             .body = nlohmann::json{{"runs", runs},
+                                    {"opened", opened_},
+                                    {"opened_while_draining", opened_while_draining_},
+                                    {"most_cold_openings", most_cold_openings_}}
+                         .dump()});
 }
 
 }  // namespace bramleytrack::standins
--- a/standins/flow_target/main.cpp
+++ b/standins/flow_target/main.cpp
@@ -10,6 +10,8 @@
         .option("service", options.service, "the service that it belongs to")
         .option("zone", options.zone, "its availability zone")
         .option("address", options.address, "ip:port, UDP and TCP")
+        .option("advertise", options.advertised, "ip:port where instances send, if it's another")
+        .option("cold-ms", options.cold_ms, "how long it is cold after its start")
         .option("store", options.store, "ip:port of the store")
         .option("caller-port", options.caller_port, "port at which callers receive")
         .option("slots", options.slots, "requests that run at once")
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -169,10 +169,13 @@
 TEST_F(silent_target, is_not_told_from_copies_that_waited_here) {
     flow_watch flows;
     const auto resumed = start + clock::duration{1'000};
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        flows.note_opening(opening(port), silent, start);
+        flows.note_packet(later(port, silent, 100, 500, 0), objective, slots, start);
+    }
     flows.note_packet(later(9, lively, 100, 500, 40), objective, slots, start);
     flows.note_packet(later(9, lively, 140, 900, 0), objective, slots, resumed);
     for (std::uint16_t port = 1; port <= 3; ++port) {
-        flows.note_opening(opening(port), silent, start);
         for (int copy = 0; copy < 3; ++copy) {
             EXPECT_FALSE(
                 flows.note_packet(later(port, silent, 100, 500, 40), objective, slots, resumed)
--- a/tests/steering_settings_test.cpp
+++ b/tests/steering_settings_test.cpp
@@ -79,6 +79,17 @@
     EXPECT_FALSE(faults_of(with("10.0.0.1:1", "\xff\xfe")).empty());
 }
 
+TEST(steering_settings, peers_may_reach_an_instance_elsewhere_than_it_listens) {
+    const auto own = std::get<steering_settings>(parse_steering_settings(whole));
+    EXPECT_EQ(own.advertised_peer_address, own.peer_address);
+    const auto other = std::get<steering_settings>(parse_steering_settings(
+        with("\"name\"", "\"advertised_pull_address\": \"10.9.0.1:5\", \"name\"")));
+    EXPECT_EQ(other.advertised_pull_address, "10.9.0.1:5");
+    EXPECT_EQ(other.pull_address, own.pull_address);
+    EXPECT_EQ(faults_of(with("\"name\"", "\"advertised_peer_address\": 1, \"name\"")).front().path,
+              "/advertised_peer_address");
+}
+
 TEST(steering_settings, does_not_print_the_passphrase) {
     for (const auto& fault : faults_of(with("a long passphrase", "short"))) {
         EXPECT_EQ(to_string(fault).find("\"short\""), std::string::npos);
