Store: Speak to the platform through one client

Cause: two clients of the platform stood side by side: store/store.h with platform/kv_store for routing by token, and libraries/platform with a protocol of its own (/v1/kv) for routing by owners, bramleyctl and the stand-ins. The users ask for one client and one copy of each type. Settings and the command line name the store by ip:port. The scenario store_away cuts links (standin_link) where the stand-in used to deny clients by name. Ruled out: following the key with store/feed, which never takes another text under a revision it knows; after a restore of the store that is what has to win.

--- a/libraries/configuration/parse.h
+++ b/libraries/configuration/parse.h
@@ -12,6 +12,9 @@
 
 namespace bramleytrack::configuration {
 
+// Where the text stands in the platform's store.
+constexpr std::string_view store_key = "bramleytrack/configuration";
+
 using parse_result = std::variant<configuration, std::vector<fault>>;
 
 // A text is accepted whole or not at all. `version` is that of the store's key.
--- a/libraries/platform/instance_list.cpp
+++ b/libraries/membership/instance_list.cpp
@@ -1,9 +1,9 @@
-#include "platform/instance_list.h"
+#include "membership/instance_list.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace bramleytrack::platform {
+namespace bramleytrack::membership {
 
 std::vector<platform_instance> parse_instance_list(std::string_view body) {
     using json = nlohmann::json;
@@ -33,15 +33,15 @@
     return result;
 }
 
-std::vector<membership::listed_instance> to_listed(const std::vector<platform_instance>& list) {
-    std::vector<membership::listed_instance> result;
+std::vector<listed_instance> to_listed(const std::vector<platform_instance>& list) {
+    std::vector<listed_instance> result;
     std::ranges::transform(list, std::back_inserter(result), [](const platform_instance& each) {
-        return membership::listed_instance{.name = each.name,
-                                           .zone = each.zone,
-                                           .address = each.peer_address,
-                                           .is_leaving = each.is_leaving};
+        return listed_instance{.name = each.name,
+                               .zone = each.zone,
+                               .address = each.peer_address,
+                               .is_leaving = each.is_leaving};
     });
     return result;
 }
 
-}  // namespace bramleytrack::platform
+}  // namespace bramleytrack::membership
--- a/libraries/platform/instance_list.h
+++ b/libraries/membership/instance_list.h
@@ -7,7 +7,7 @@
 
 #include "membership/peer_table.h"
 
-namespace bramleytrack::platform {
+namespace bramleytrack::membership {
 
 struct platform_instance {
     std::string name;
@@ -21,6 +21,6 @@
 // Entries that are not whole are left out: the list is a hint, never the truth.
 std::vector<platform_instance> parse_instance_list(std::string_view body);
 
-std::vector<membership::listed_instance> to_listed(const std::vector<platform_instance>& list);
+std::vector<listed_instance> to_listed(const std::vector<platform_instance>& list);
 
-}  // namespace bramleytrack::platform
+}  // namespace bramleytrack::membership
--- a/libraries/settings/settings.h
+++ b/libraries/settings/settings.h
@@ -17,7 +17,7 @@
     std::string caller_address;     // UDP, the fabric
     std::string target_address;     // UDP, targets answer to it
     std::string admin_address;      // HTTP: /metrics, /status
-    std::string store_url;          // the platform's key-value service
+    std::string store_address;      // the platform's store
     std::string instance_list_url;  // the platform's list of instances
     std::string fleet_passphrase;   // authenticates peers
 };
--- a/libraries/store/store.h
+++ b/libraries/store/store.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -29,6 +30,12 @@
     std::int64_t revision = 0;
 };
 
+// What stands under one key; nothing when the key doesn't exist.
+struct found_item {
+    std::optional<item> content;
+    std::int64_t revision = 0;  // the store's revision when it answered
+};
+
 // One page of a range read. Pages are not a snapshot of one revision.
 struct page {
     std::vector<item> items;
@@ -88,6 +95,7 @@
     client& operator=(const client&) = delete;
     virtual ~client() = default;
 
+    virtual void get(std::string_view key, clock::duration limit, callback<found_item> done) = 0;
     // Items whose key begins with `prefix` and sorts after `after_key`.
     virtual void range(std::string_view prefix, std::string_view after_key, clock::duration limit,
                        callback<page> done) = 0;
--- a/meta/fleet.sh
+++ b/meta/fleet.sh
@@ -28,7 +28,7 @@
 }
 
 ctl() {
-    "$build/bramleyctl" --store "http://$platform" --instances "http://$platform/v1/instances" "$@"
+    "$build/bramleyctl" --store "$platform" --instances "http://$platform/v1/instances" "$@"
 }
 
 register() { # instance, live|leaving|gone
@@ -39,6 +39,19 @@
     "$build/standin_fleet" fault "$workspace" "$1"
 }
 
+# Each instance reaches the store by a link of its own.
+declare -A store_links=()
+
+open_store_link() { # instance
+    start "store-link-$1" "$build/standin_link" --near "${store_links[$1]}" --far "$platform"
+}
+
+cut_store_link() { # instance
+    kill -KILL "${pids[store-link-$1]}"
+    wait "${pids[store-link-$1]}" 2>/dev/null || true
+    unset "pids[store-link-$1]"
+}
+
 start_instance() { # name
     start "$1" "$build/bramleyd" --settings "$workspace/$1.json"
     register "$1" live
@@ -76,6 +89,10 @@
     "$build/standin_fleet" create "examples/$1.json" "$workspace"
     read -r platform fabric <"$workspace/addresses.tsv"
     mapfile -t instances <"$workspace/instances.tsv"
+    store_links=()
+    while read -r name address; do
+        store_links[$name]=$address
+    done <"$workspace/store_links.tsv"
     start platform "$build/standin_platform" --address "$platform"
     sleep 0.2
     start fabric "$build/standin_fabric" --address "$fabric" --instances "http://$platform/v1/instances"
@@ -84,6 +101,10 @@
             --slots "$slots" --connections "$connections" --cold-connections "$cold"
     done <"$workspace/targets.tsv"
     ctl apply "$workspace/text.json" >/dev/null || return 0
+    for name in "${instances[@]}"; do
+        open_store_link "$name"
+    done
+    sleep 0.2
     for name in "${instances[@]}"; do
         start_instance "$name" || return 0
     done
@@ -172,7 +193,7 @@
     sleep 3
     for name in "${instances[@]}"; do
         if [[ $name != "$zone"-* ]]; then
-            platform_fault "deny=$name"
+            cut_store_link "$name"
         fi
     done
     say "zone $zone out, while only its own instances reach the store"
@@ -184,7 +205,9 @@
     say "store back"
     platform_fault "down=0"
     for name in "${instances[@]}"; do
-        platform_fault "allow=$name"
+        if [[ $name != "$zone"-* ]]; then
+            open_store_link "$name"
+        fi
     done
     ctl --wait zone in "$zone" >/dev/null
 }
--- a/services/bramleyctl/commands.cpp
+++ b/services/bramleyctl/commands.cpp
@@ -60,13 +60,19 @@
     }
 }
 
+// The operators' text as it stands in the store; version 0 when there is none yet.
+struct stored_text {
+    std::int64_t version = 0;
+    std::string value;
+};
+
 // One command line on the store.
 class command {
 public:
     command(const options& options, std::span<const std::string> arguments)
         : options_{options},
           arguments_{arguments},
-          session_{options.store_url, clock::duration{options.timeout_ms}} {}
+          session_{options.store_address, clock::duration{options.timeout_ms}} {}
 
     int check() {
         const auto checked = read_checked_file();
@@ -82,12 +88,11 @@
         if (!text) {
             return fail(result_code::usage, "can't read \"" + argument(1) + "\"");
         }
-        const auto current = session_.read(platform::configuration_key);
-        if (platform::is_unavailable(current)) {
+        const auto current = read_text();
+        if (!current) {
             return fail(result_code::store_unavailable, "the store did not answer");
         }
-        const auto* found = std::get_if<platform::stored_value>(&current);
-        const auto before = found == nullptr ? platform::stored_value{} : *found;
+        const auto& before = *current;
         // Failure: an operator applies a file that was taken from the store before a colleague's
         // change, and silently undoes it. The trail that the file still carries gives it away.
         const auto missed = configuration::changes_between(*text, before.value);
@@ -102,18 +107,15 @@
         if (const auto* status = std::get_if<int>(&checked)) {
             return *status;
         }
-        const auto current = session_.read(platform::configuration_key);
-        if (platform::is_unavailable(current)) {
+        const auto current = read_text();
+        if (!current) {
             return fail(result_code::store_unavailable, "the store did not answer");
         }
-        const auto* found = std::get_if<platform::stored_value>(&current);
-        const auto lines = differences_from(found == nullptr ? "" : found->value,
-                                            std::get<configuration::configuration>(checked));
+        const auto lines =
+            differences_from(current->value, std::get<configuration::configuration>(checked));
         if (options_.is_json) {
-            std::printf("%s\n", json{{"version", found == nullptr ? 0 : found->version},
-                                     {"differences", lines}}
-                                    .dump()
-                                    .c_str());
+            std::printf("%s\n",
+                        json{{"version", current->version}, {"differences", lines}}.dump().c_str());
         } else {
             print_lines(lines);
         }
@@ -121,9 +123,8 @@
     }
 
     int show() {
-        const auto current = session_.read(platform::configuration_key);
-        const auto* found = std::get_if<platform::stored_value>(&current);
-        if (found == nullptr) {
+        const auto found = read_text();
+        if (!found || found->version == 0) {
             return fail(result_code::store_unavailable, "no configuration could be read");
         }
         if (options_.is_json) {
@@ -161,9 +162,8 @@
         // A colleague's change that comes first is kept: this one is made again on top of it.
         constexpr int max_attempts = 10;
         for (int attempt = 1;; ++attempt) {
-            const auto current = session_.read(platform::configuration_key);
-            const auto* found = std::get_if<platform::stored_value>(&current);
-            if (found == nullptr) {
+            const auto found = read_text();
+            if (!found || found->version == 0) {
                 return fail(result_code::store_unavailable, "no configuration could be read");
             }
             auto root = json::parse(found->value, nullptr, false, true);
@@ -180,19 +180,30 @@
     }
 
     int status() {
-        const auto current = session_.read(platform::configuration_key);
-        const auto* found = std::get_if<platform::stored_value>(&current);
-        const bool is_known = !platform::is_unavailable(current);
+        const auto current = read_text();
+        const bool is_known = current.has_value();
         if (!is_known) {
             fail(result_code::store_unavailable, "the store's version is not known");
         }
-        const auto version = found == nullptr ? 0 : found->version;
+        const auto version = is_known ? current->version : 0;
         const auto shown = options_.is_waiting ? wait_until_everywhere(version)
                                                : show_instances(version, std::nullopt);
         return is_known ? shown : finish(exit_status::unavailable);
     }
 
 private:
+    // Nothing when the store didn't answer.
+    std::optional<stored_text> read_text() {
+        const auto answer = session_.read(configuration::store_key);
+        const auto* part = std::get_if<store::found_item>(&answer);
+        if (part == nullptr) {
+            return std::nullopt;
+        }
+        return part->content
+                   ? stored_text{.version = part->content->revision, .value = part->content->value}
+                   : stored_text{};
+    }
+
     // The file that the command line names, or the exit status once its faults are printed.
     std::variant<configuration::configuration, int> read_checked_file() const {
         const auto text = read_file(argument(1));
@@ -261,8 +272,7 @@
         return id;
     }
 
-    int write(const std::string& text, const platform::stored_value& before,
-              const std::string& description) {
+    int write(const std::string& text, const stored_text& before, const std::string& description) {
         const configuration::change_mark mark{new_change_id(), description};
         const auto marked = configuration::with_trail(text, before.value, mark);
         const auto parsed = configuration::parse_configuration(marked, before.version + 1);
@@ -273,12 +283,11 @@
         const auto lines =
             differences_from(before.value, std::get<configuration::configuration>(parsed));
         const auto result =
-            session_.compare_and_swap(platform::configuration_key, before.version, marked, mark.id);
+            session_.compare_and_swap(configuration::store_key, before.version, marked, mark.id);
         if (result == std::variant<written, result_code>{result_code::version_conflict}) {
-            const auto now = session_.read(platform::configuration_key);
-            const auto* found = std::get_if<platform::stored_value>(&now);
+            const auto now = read_text();
             return report_conflict(configuration::changes_between(
-                before.value, found == nullptr ? std::string_view{} : found->value));
+                before.value, now ? std::string_view{now->value} : std::string_view{}));
         }
         if (const auto* code = std::get_if<result_code>(&result)) {
             return fail(*code, R"(the store stayed silent; "bramleyctl show" tells whether ")" +
--- a/services/bramleyctl/commands.h
+++ b/services/bramleyctl/commands.h
@@ -12,7 +12,7 @@
 namespace bramleytrack::ctl {
 
 struct options {
-    std::string store_url;
+    std::string store_address;
     std::string instance_list_url;
     bool is_json = false;
     bool is_waiting = false;
--- a/services/bramleyctl/fleet_status.cpp
+++ b/services/bramleyctl/fleet_status.cpp
@@ -3,7 +3,7 @@
 #include <array>
 #include <cstdio>
 
-#include "platform/instance_list.h"
+#include "membership/instance_list.h"
 
 namespace bramleytrack::ctl {
 namespace {
@@ -42,7 +42,7 @@
         return std::nullopt;
     }
     std::vector<instance_status> result;
-    for (const auto& each : platform::parse_instance_list(list.body)) {
+    for (const auto& each : membership::parse_instance_list(list.body)) {
         instance_status status;
         status.name = each.name;
         status.zone = each.zone;
--- a/services/bramleyctl/main.cpp
+++ b/services/bramleyctl/main.cpp
@@ -10,7 +10,7 @@
             "[OPTIONS] check FILE | diff FILE | apply FILE | show | status | zone out|in NAME | "
             "target drain|undrain NAME | instance retire|restore NAME | explain CALLER [LOG...] | "
             "overview ADDRESS..."}
-            .option("store", options.store_url, "URL of the platform's key-value service")
+            .option("store", options.store_address, "numeric ip:port of the platform's store")
             .option("instances", options.instance_list_url, "URL of the platform's instance list")
             .option("timeout-ms", options.timeout_ms, "longest time to wait for an answer")
             .flag("json", options.is_json, "print for scripts")
--- a/services/bramleyctl/store_session.cpp
+++ b/services/bramleyctl/store_session.cpp
@@ -1,14 +1,13 @@
 #include "store_session.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "configuration/change_trail.h"
+#include "net/udp_endpoint.h"
 
 namespace bramleytrack::ctl {
 namespace {
 
-constexpr int http_ok = 200;
 // The store answers in milliseconds; an outage lasts longer than a few tries.
 constexpr clock::duration first_retry{100};
 constexpr clock::duration longest_retry{2'000};
@@ -19,12 +18,10 @@
 
 }  // namespace
 
-store_session::store_session(std::string url, clock::duration timeout)
-    : client_{loop_}, url_{std::move(url)}, timeout_{timeout} {}
-
-std::string store_session::url_of(std::string_view key) const {
-    return url_ + "/v1/kv/" + std::string{key};
-}
+store_session::store_session(std::string_view address, clock::duration timeout)
+    : client_{loop_},
+      store_{client_, net::parse_address(address).value_or(sockaddr_in{})},
+      timeout_{timeout} {}
 
 net::http_result store_session::get(const std::string& url) {
     net::http_result result;
@@ -36,18 +33,26 @@
     return result;
 }
 
-net::http_result store_session::put(const std::string& url, const std::string& body) {
-    net::http_result result;
-    client_.put(url, body, timeout_, [&](net::http_result answer) {
-        result = std::move(answer);
-        loop_.break_loop(ev::ONE);
-    });
+store::outcome<store::committed> store_session::commit(const store::transaction& wanted) {
+    store::outcome<store::committed> result;
+    store_.commit(wanted, timeout_,
+                  [&](const store::outcome<store::committed>& answer, clock::time_point /*now*/) {
+                      result = answer;
+                      loop_.break_loop(ev::ONE);
+                  });
     loop_.run();
     return result;
 }
 
-platform::read_result store_session::read(std::string_view key) {
-    return platform::parse_stored_value(get(url_of(key)));
+store::outcome<store::found_item> store_session::read(std::string_view key) {
+    store::outcome<store::found_item> result;
+    store_.get(key, timeout_,
+               [&](const store::outcome<store::found_item>& answer, clock::time_point /*now*/) {
+                   result = answer;
+                   loop_.break_loop(ev::ONE);
+               });
+    loop_.run();
+    return result;
 }
 
 std::variant<written, result_code> store_session::compare_and_swap(std::string_view key,
@@ -57,10 +62,12 @@
     const auto deadline = clock::now() + timeout_;
     auto wait = first_retry;
     while (true) {
-        const auto answer = put(url_of(key) + "?expected=" + std::to_string(expected), value);
-        const auto root = nlohmann::json::parse(answer.body, nullptr, false);
-        if (answer.status == http_ok && root.is_object() && root.contains("version")) {
-            return written{.version = root["version"].get<std::int64_t>()};
+        const auto answer =
+            commit({.expectations = {{.key = std::string{key}, .revision = expected}},
+                    .writes = {{.key = std::string{key}, .value = value}},
+                    .removals = {}});
+        if (const auto* done = std::get_if<store::committed>(&answer)) {
+            return written{.version = done->revision};
         }
         // A conflict may be one with our own write, whose answer was lost in an earlier round.
         if (const auto outcome = resolve(key, expected, id)) {
@@ -79,15 +86,16 @@
                                                                          std::string_view id) {
     using configuration::write_outcome;
     const auto now = read(key);
-    const auto* found = std::get_if<platform::stored_value>(&now);
-    if (found == nullptr) {
+    const auto* part = std::get_if<store::found_item>(&now);
+    if (part == nullptr || !part->content) {
         return std::nullopt;
     }
-    switch (configuration::outcome_of_write(found->value, found->version, expected, id)) {
+    const auto* found = &*part->content;
+    switch (configuration::outcome_of_write(found->value, found->revision, expected, id)) {
         case write_outcome::took_effect:
-            return written{.version = found->version};
+            return written{.version = found->revision};
         case write_outcome::took_effect_and_replaced:
-            return written{.version = found->version, .is_replaced = true};
+            return written{.version = found->revision, .is_replaced = true};
         case write_outcome::another_came_first:
             return result_code::version_conflict;
         case write_outcome::not_written:
--- a/services/bramleyctl/store_session.h
+++ b/services/bramleyctl/store_session.h
@@ -10,7 +10,8 @@
 
 #include "base/result_code.h"
 #include "net/http_client.h"
-#include "platform/store_client.h"
+#include "platform/kv_store.h"
+#include "store/store.h"
 
 namespace bramleytrack::ctl {
 
@@ -23,13 +24,14 @@
 
 class store_session {
 public:
-    store_session(std::string url, clock::duration timeout);
+    // Without a valid numeric ip:port every call fails.
+    store_session(std::string_view address, clock::duration timeout);
 
-    // result_code::ok in the result means that the key doesn't exist.
-    platform::read_result read(std::string_view key);
+    store::outcome<store::found_item> read(std::string_view key);
 
-    // Writes when the key still has version `expected` (0: must not exist). `id` is the value's
-    // newest mark (see configuration/change_trail.h).
+    // Writes when the key still has version `expected` (0: must not exist). A value's version is
+    // the store's revision of its last write. `id` is the value's newest mark (see
+    // configuration/change_trail.h).
     //
     // An answer that is lost is resolved by trying again, which the compare-and-swap makes
     // idempotent, and then by looking for the mark: it tells "mine took effect, then another" from
@@ -42,16 +44,15 @@
     net::http_result get(const std::string& url);
 
 private:
-    net::http_result put(const std::string& url, const std::string& body);
+    store::outcome<store::committed> commit(const store::transaction& wanted);
     std::optional<std::variant<written, result_code>> resolve(std::string_view key,
                                                               std::int64_t expected,
                                                               std::string_view id);
     void pause(clock::duration duration);
-    std::string url_of(std::string_view key) const;
 
     ev::default_loop loop_;
     net::http_client client_;
-    std::string url_;
+    platform_adapter::kv_store store_;
     clock::duration timeout_;
 };
 
--- a/services/bramleyd/balancer_daemon.cpp
+++ b/services/bramleyd/balancer_daemon.cpp
@@ -4,8 +4,9 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "configuration/parse.h"
+#include "membership/instance_list.h"
 #include "observability/log.h"
-#include "platform/instance_list.h"
 
 namespace bramleytrack {
 namespace {
@@ -25,7 +26,8 @@
 
 }  // namespace
 
-balancer_daemon::balancer_daemon(ev::loop_ref loop, settings::instance_settings settings)
+balancer_daemon::balancer_daemon(ev::loop_ref loop, settings::instance_settings settings,
+                                 store::client& store)
     : settings_{std::move(settings)},
       loop_{loop},
       key_{wire::derive_fleet_key(settings_.fleet_passphrase)},
@@ -65,11 +67,10 @@
                  serve(request, respond);
              }},
       http_{loop},
-      store_{http_, settings_.store_url, settings_.name},
-      pace_{hash_of(hash_of(settings_.name),
-                    static_cast<std::uint64_t>(to_milliseconds(clock::now())))},
+      configuration_{store, std::string{configuration::store_key},
+                     hash_of(hash_of(settings_.name),
+                             static_cast<std::uint64_t>(to_milliseconds(clock::now())))},
       ticker_{loop},
-      store_retry_{loop},
       terminate_{loop} {
     ticker_.set<balancer_daemon, &balancer_daemon::on_tick>(this);
     const double interval = static_cast<double>(tick_interval.count()) / milliseconds_per_second;
@@ -80,7 +81,10 @@
                                 .with("zone", settings_.zone)
                                 .with("peer_address", settings_.peer_address)
                                 .line());
-    watch_store();
+    configuration_.on_value([this](const store::item& value, clock::time_point now) {
+        core_.on_configuration(value.value, value.revision, now);
+        act();
+    });
 }
 
 void balancer_daemon::on_tick(ev::timer& /*watcher*/, int /*events*/) {
@@ -89,6 +93,10 @@
         next_list_request_ = now + list_interval;
         ask_instance_list();
     }
+    if (core_.take_store_wanted()) {
+        configuration_.read_anew();
+    }
+    configuration_.tick(now);
     core_.on_tick(now);
     act();
     if (core_.may_stop()) {
@@ -101,30 +109,12 @@
     core_.leave();
 }
 
-void balancer_daemon::watch_store() {
-    if (core_.take_store_wanted()) {
-        pace_.read_anew();
-    }
-    const auto known = pace_.after(core_.state().configuration.version);
-    store_.watch(
-        platform::configuration_key, known, platform::watch_wait,
-        [this, asked = clock::now()](const platform::read_result& result) {
-            const auto now = clock::now();
-            if (const auto* value = std::get_if<platform::stored_value>(&result)) {
-                core_.on_configuration(value->value, value->version, now);
-                act();
-            }
-            const auto pause = pace_.on_answer(result, now - asked);
-            store_retry_.set<balancer_daemon, &balancer_daemon::watch_store>(this);
-            store_retry_.start(static_cast<double>(pause.count()) / milliseconds_per_second);
-        });
-}
-
 void balancer_daemon::ask_instance_list() {
     http_.get(settings_.instance_list_url, list_timeout, [this](const net::http_result& answer) {
         constexpr int http_ok = 200;
         if (answer.status == http_ok) {
-            core_.on_instance_list(platform::to_listed(platform::parse_instance_list(answer.body)));
+            core_.on_instance_list(
+                membership::to_listed(membership::parse_instance_list(answer.body)));
         }
     });
 }
--- a/services/bramleyd/balancer_daemon.h
+++ b/services/bramleyd/balancer_daemon.h
@@ -11,9 +11,8 @@
 #include "net/http_server.h"
 #include "net/udp_endpoint.h"
 #include "observability/metrics.h"
-#include "platform/store_client.h"
-#include "platform/watch_pace.h"
 #include "settings/settings.h"
+#include "store/key_watch.h"
 #include "wire/codec.h"
 
 namespace bramleytrack {
@@ -21,12 +20,11 @@
 class balancer_daemon {
 public:
     // Throws std::system_error or std::runtime_error when an address can't be bound.
-    balancer_daemon(ev::loop_ref loop, settings::instance_settings settings);
+    balancer_daemon(ev::loop_ref loop, settings::instance_settings settings, store::client& store);
 
 private:
     void on_tick(ev::timer& watcher, int events);
     void on_signal(ev::sig& watcher, int events);
-    void watch_store();
     void ask_instance_list();
     void act();
     void carry_out(const send_to_caller& wanted);
@@ -48,10 +46,8 @@
     net::udp_endpoint targets_;
     net::http_server admin_;
     net::http_client http_;
-    platform::store_client store_;
-    platform::watch_pace pace_;
+    store::key_watch configuration_;
     ev::timer ticker_;
-    ev::timer store_retry_;
     ev::sig terminate_;
     clock::time_point next_list_request_;
     std::int64_t rejected_datagrams_ = 0;
--- a/services/bramleyd/main.cpp
+++ b/services/bramleyd/main.cpp
@@ -33,7 +33,8 @@
     auto& settings = std::get<settings::instance_settings>(parsed);
     observability::start_log(settings.name);
     ev::default_loop loop;
-    balancer_daemon process{loop, std::move(settings)};
+    platform_adapter::adapter platform{loop, *net::parse_address(settings.store_address)};
+    balancer_daemon process{loop, std::move(settings), platform.store()};
     loop.run();
     return 0;
 }
--- a/standins/caller/observer.cpp
+++ b/standins/caller/observer.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <memory>
 
+#include "configuration/parse.h"
+#include "net/udp_endpoint.h"
+
 namespace bramleytrack::standins {
 namespace {
 
@@ -16,8 +19,7 @@
 observer::observer(ev::loop_ref loop, const json& fleet)
     : http_{loop},
       ticker_{loop},
-      text_url_{"http://" + fleet["platform"].get<std::string>() +
-                "/v1/kv/bramleytrack/configuration"} {
+      store_{http_, *net::parse_address(fleet["platform"].get<std::string>())} {
     for (const auto& each : fleet["targets"]) {
         targets_.push_back({each["name"].get<std::string>(),
                             "http://" + each["admin_address"].get<std::string>()});
@@ -28,19 +30,21 @@
 }
 
 void observer::on_tick(ev::timer& /*watcher*/, int /*events*/) {
-    http_.get(text_url_, http_timeout, [this](const net::http_result& answer) { on_text(answer); });
+    store_.get(configuration::store_key, http_timeout,
+               [this](const store::outcome<store::found_item>& answer, clock::time_point) {
+                   const auto* found = std::get_if<store::found_item>(&answer);
+                   if (found != nullptr && found->content) {
+                       on_text(found->content->value);
+                   }
+               });
     for (const auto& each : targets_) {
         http_.get(each.admin_url + "/stats", http_timeout,
                   [this, &each](const net::http_result& answer) { on_stats(each.name, answer); });
     }
 }
 
-void observer::on_text(const net::http_result& answer) {
-    const auto stored = json::parse(answer.body, nullptr, false);
-    if (!stored.is_object() || !stored.contains("value")) {
-        return;
-    }
-    const auto root = json::parse(stored["value"].get<std::string>(), nullptr, false, true);
+void observer::on_text(const std::string& text) {
+    const auto root = json::parse(text, nullptr, false, true);
     std::set<std::string> zones_out;
     for (const auto& zone : root["zones"]) {
         if (zone.value("state", "in") == "out") {
--- a/standins/caller/observer.h
+++ b/standins/caller/observer.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "net/http_client.h"
+#include "platform/kv_store.h"
 
 namespace bramleytrack::standins {
 
@@ -57,12 +58,12 @@
     };
 
     void on_tick(ev::timer& watcher, int events);
-    void on_text(const net::http_result& answer);
+    void on_text(const std::string& text);
     void on_stats(const std::string& name, const net::http_result& answer);
 
     net::http_client http_;
     ev::timer ticker_;
-    std::string text_url_;
+    platform_adapter::kv_store store_;
     std::vector<target> targets_;
     std::map<std::string, std::string> service_of_;
     std::map<std::string, silence> out_;                  // by target
--- a/standins/fabric/main.cpp
+++ b/standins/fabric/main.cpp
@@ -3,9 +3,9 @@
 // place.
 #include <random>
 
+#include "membership/instance_list.h"
 #include "net/http_client.h"
 #include "net/udp_endpoint.h"
-#include "platform/instance_list.h"
 #include "settings/command_line.h"
 #include "wire/codec.h"
 
@@ -35,7 +35,7 @@
         http_.get(list_url_, list_timeout, [this](const net::http_result& answer) {
             constexpr int http_ok = 200;
             if (answer.status == http_ok) {
-                instances_ = platform::parse_instance_list(answer.body);
+                instances_ = membership::parse_instance_list(answer.body);
                 std::erase_if(instances_, [](const auto& each) { return each.is_leaving; });
             }
         });
@@ -55,7 +55,7 @@
     std::mt19937_64 random_;
     std::string list_url_;
     wire::encoder encoder_;
-    std::vector<platform::platform_instance> instances_;
+    std::vector<membership::platform_instance> instances_;
     net::http_client http_;
     net::udp_endpoint callers_;
     ev::timer ticker_;
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -43,6 +43,7 @@
     const auto platform = ports.take();
     const auto fabric = ports.take();
     json entries = json::array();
+    std::string store_links;
     for (int i = 0; i < instances; ++i) {
         const auto& zone = fleet.zones[static_cast<std::size_t>(i) % fleet.zones.size()].name;
         const auto name = zone + "-" + std::to_string(1 + i / static_cast<int>(fleet.zones.size()));
@@ -55,10 +56,12 @@
         json settings = entry;
         settings.erase("state");
         settings["target_address"] = ports.take();
-        settings["store_url"] = "http://" + platform;
+        // A link to the store of each instance's own, which scripts may end.
+        settings["store_address"] = ports.take();
         settings["instance_list_url"] = "http://" + platform + "/v1/instances";
         settings["fleet_passphrase"] = "stand-in fleet";
         write(directory + "/" + name + ".json", settings.dump(2));
+        store_links += name + "\t" + settings["store_address"].get<std::string>() + "\n";
         entries.push_back(entry);
     }
     write(directory + "/text.json", root.dump(2));
@@ -80,6 +83,7 @@
     for (const auto& entry : entries) {
         instances_table += entry["name"].get<std::string>() + "\n";
     }
+    std::ofstream{directory + "/store_links.tsv"} << store_links;
     std::ofstream{directory + "/targets.tsv"} << targets_table;
     std::ofstream{directory + "/instances.tsv"} << instances_table;
     std::ofstream{directory + "/addresses.tsv"} << platform << "\t" << fabric << "\n";
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,6 +1,5 @@
-// standin_platform: the platform's key-value service and instance list in one small process.
+// standin_platform: the platform's store and instance list in one small process.
 #include "instance_directory.h"
-#include "key_value_store.h"
 #include "revisioned_store.h"
 #include "settings/command_line.h"
 
@@ -13,22 +12,14 @@
         .option("list-lag-ms", lag_ms, "how late the instance list shows changes")
         .parse(argc, argv);
     ev::default_loop loop;
-    standins::key_value_store store{loop};
-    standins::revisioned_store revisioned{loop};
+    standins::revisioned_store store{loop};
     standins::instance_directory directory{clock::duration{lag_ms}};
     const net::http_server server{
         loop, address, [&](const net::http_request& request, const net::http_responder& respond) {
-            if (request.path == "/fault") {
-                // Both stores fail alike; the other one answers.
-                revisioned.handle(request, [](const net::http_response&) {});
-            } else if (standins::revisioned_store::handles(request.path)) {
-                revisioned.handle(request, respond);
-                return;
-            }
-            if (request.path == "/v1/instances") {
-                directory.handle(request, respond);
-            } else if (request.path.starts_with("/v1/kv/") || request.path == "/fault") {
+            if (standins::revisioned_store::handles(request.path)) {
                 store.handle(request, respond);
+            } else if (request.path == "/v1/instances") {
+                directory.handle(request, respond);
             } else {
                 respond({.status = 404, .body = "{}", .content_type = "application/json"});
             }
--- a/tests/settings_checks_test.cpp
+++ b/tests/settings_checks_test.cpp
@@ -17,7 +17,7 @@
   "caller_address": "127.0.0.1:7002",
   "target_address": "127.0.0.1:7003",
   "admin_address": "127.0.0.1:7004",
-  "store_url": "http://127.0.0.1:7005",
+  "store_address": "127.0.0.1:7005",
   "instance_list_url": "http://127.0.0.1:7005/v1/instances",
   "fleet_passphrase": "twelve and more"
 })";
@@ -49,7 +49,8 @@
               (std::vector<std::string>{
                   "line 7 /admin_address: expected a numeric ip:port such as 10.0.0.1:7000, found "
                   "\"localhost:7004\""}));
-    EXPECT_EQ(faults_of(with("http://127.0.0.1:7005\"", "127.0.0.1:7005\"")).size(), 1);
+    EXPECT_EQ(faults_of(with("\"127.0.0.1:7005\"", "\"http://127.0.0.1:7005\"")).size(), 1);
+    EXPECT_EQ(faults_of(with("http://127.0.0.1:7005/v1", "127.0.0.1:7005/v1")).size(), 1);
 }
 
 TEST(settings_checks, a_refused_passphrase_stays_out_of_the_message) {
--- a/tests/store_write_test.cpp
+++ b/tests/store_write_test.cpp
@@ -10,7 +10,7 @@
 #include "configuration/difference.h"
 #include "configuration/parse.h"
 #include "net/udp_endpoint.h"
-#include "standins/platform/key_value_store.h"
+#include "standins/platform/revisioned_store.h"
 #include "support/fleet_text.h"
 
 namespace bramleytrack {
@@ -33,24 +33,24 @@
     return net::to_string(address);
 }
 
-// A stand-in store that counts calls and lets a test act between a write and its lost answer.
+// A stand-in store that counts writes and lets a test act between a write and its lost answer.
 struct store_fixture : ::testing::Test {
     ev::default_loop loop;
     std::string address = free_address();
-    standins::key_value_store store{loop};
-    int puts = 0;
-    std::function<void()> after_put = [] {};
+    standins::revisioned_store store{loop};
+    int writes = 0;
+    std::function<void()> after_write = [] {};
     net::http_server server{
         loop, address,
         [this](const net::http_request& request, const net::http_responder& respond) {
-            const bool is_put = request.method == "PUT";
+            const bool is_write = request.path == "/-/kv-txn";
             store.handle(request, respond);
-            if (is_put) {
-                ++puts;
-                std::exchange(after_put, [] {})();
+            if (is_write) {
+                ++writes;
+                std::exchange(after_write, [] {})();
             }
         }};
-    ctl::store_session session{"http://" + address, clock::duration{1'500}};
+    ctl::store_session session{address, clock::duration{1'500}};
 
     void set_fault(const std::string& name, const std::string& value) {
         net::http_request request;
@@ -59,15 +59,18 @@
         store.handle(request, [](const net::http_response&) {});
     }
 
-    // Another operator's write, past the faults of the network.
-    void write_as_other(std::int64_t expected, const std::string& value) {
+    // Another operator's write, past the faults of the network. Returns the key's version.
+    std::int64_t write_as_other(const std::string& value) {
         net::http_request request;
         request.method = "PUT";
-        request.path = "/v1/kv/" + std::string{key};
-        request.query["expected"] = std::to_string(expected);
+        request.path = "/put";
+        request.query["key"] = key;
         request.body = value;
         store.handle(request, [](const net::http_response&) {});
+        return ++last_revision;
     }
+    // The store's counter begins above 0, and each write here raises it by one.
+    std::int64_t last_revision = 1;
 };
 
 using store_write = store_fixture;
@@ -76,9 +79,9 @@
     // The store writes the text and its answer is lost. The operator's tool tried again, met its
     // own write and said that someone else had been first.
     const auto text = with_trail("{}", "", {"mine", "apply"});
-    set_fault("lose_answers", "1");
-    EXPECT_EQ(session.compare_and_swap(key, 0, text, "mine"), outcome{written{.version = 1}});
-    EXPECT_EQ(puts, 1);
+    set_fault("lost", "1");
+    EXPECT_EQ(session.compare_and_swap(key, 0, text, "mine"), outcome{written{.version = 2}});
+    EXPECT_EQ(writes, 1);
 }
 
 TEST_F(store_write, a_lost_answer_before_another_write_is_told_apart) {
@@ -86,26 +89,33 @@
     // the tool reads again. The value in the store is not ours any more, yet our change is in
     // force: calling it a conflict makes the operator repeat it.
     const auto mine = with_trail("{}", "", {"mine", "zone out north"});
-    set_fault("lose_answers", "1");
-    after_put = [&] { write_as_other(1, with_trail("{}", mine, {"theirs", "target drain t"})); };
+    set_fault("lost", "1");
+    after_write = [&] { write_as_other(with_trail("{}", mine, {"theirs", "target drain t"})); };
     EXPECT_EQ(session.compare_and_swap(key, 0, mine, "mine"),
-              (outcome{written{.version = 2, .is_replaced = true}}));
+              (outcome{written{.version = 3, .is_replaced = true}}));
 }
 
 TEST_F(store_write, the_second_of_two_operators_is_told_what_changed) {
     // Two operators read the same version. The second write is refused and names the first's
     // change.
     const auto base = with_trail("{}", "", {"base", "apply"});
-    write_as_other(0, base);
+    const auto read_by_both = write_as_other(base);
     const auto theirs = with_trail("{}", base, {"theirs", "zone out north"});
-    write_as_other(1, theirs);
+    write_as_other(theirs);
     const auto mine = with_trail("{}", base, {"mine", "target drain t"});
-    EXPECT_EQ(session.compare_and_swap(key, 1, mine, "mine"),
+    EXPECT_EQ(session.compare_and_swap(key, read_by_both, mine, "mine"),
               outcome{result_code::version_conflict});
     EXPECT_EQ(configuration::changes_between(base, theirs),
               (std::vector<change_mark>{{"theirs", "zone out north"}}));
     const auto now = session.read(key);
-    EXPECT_EQ(std::get<platform::stored_value>(now).value, theirs);
+    EXPECT_EQ(std::get<store::found_item>(now).content->value, theirs);
+}
+
+TEST_F(store_write, a_key_that_does_not_exist_is_an_answer) {
+    // Before the first text there is nothing to read, which isn't an outage.
+    EXPECT_FALSE(std::get<store::found_item>(session.read(key)).content.has_value());
+    set_fault("down", "1");
+    EXPECT_EQ(std::get<result_code>(session.read(key)), result_code::store_unavailable);
 }
 
 TEST_F(store_write, a_store_that_stays_down_leaves_the_write_in_doubt) {
@@ -113,7 +123,7 @@
     set_fault("down", "1");
     EXPECT_EQ(session.compare_and_swap(key, 0, with_trail("{}", "", {"mine", ""}), "mine"),
               outcome{result_code::write_in_doubt});
-    EXPECT_LE(puts, 6);
+    EXPECT_LE(writes, 6);
 }
 
 TEST(change_trail, keeps_the_newest_and_the_text) {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -10,6 +10,10 @@
 
 class fake_store final : public store::client {
 public:
+    struct get_call {
+        std::string key;
+        store::callback<store::found_item> done;
+    };
     struct range_call {
         std::string after_key;
         store::callback<store::page> done;
@@ -27,12 +31,17 @@
         store::callback<store::lease> done;
     };
 
+    std::vector<get_call> gets;
     std::vector<range_call> ranges;
     std::vector<watch_call> watches;
     std::vector<commit_call> commits;
     std::vector<lease_call> leases;
     std::vector<std::int64_t> ended_leases;
 
+    void get(std::string_view key, clock::duration /*limit*/,
+             store::callback<store::found_item> done) override {
+        gets.push_back({.key = std::string{key}, .done = std::move(done)});
+    }
     void range(std::string_view /*prefix*/, std::string_view after_key, clock::duration /*limit*/,
                store::callback<store::page> done) override {
         ranges.push_back({.after_key = std::string{after_key}, .done = std::move(done)});
