Store: Pause after a watch that is answered at once without news

Cause: read while the two ways of watching were merged: a store that can't watch answers each one at once, and the feed asked anew without a pause; the other client had that guard. Change: 500 ms after an early answer without news. Test fails before (second watch at the next tick).

--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -131,7 +131,9 @@
     const auto changes = known_.apply(part->events);
     known_.advance(part->revision);
     publish(changes, now);
-    next_start_ = part->events.empty() ? now : now + limits_.pause_after_news;
+    const bool is_early = part->events.empty() && (now - sent) * 2 < limits_.watch_wait;
+    const auto pause_if_empty = is_early ? limits_.after_early_answer : clock::duration{0};
+    next_start_ = now + (part->events.empty() ? pause_if_empty : limits_.pause_after_news);
 }
 
 void feed::succeed(clock::time_point sent, clock::time_point now) {
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -29,6 +29,9 @@
     // Changes come in groups (a release, a start of the fleet); each answer of a watch is a priced
     // call.
     clock::duration pause_after_news{200};
+    // Failure: a store that can't watch answers each one at once, without news, and the next would
+    // follow at once. Two reads a second keep the word on everything young enough.
+    clock::duration after_early_answer{500};
     // The first retry is at once for a person; the last keeps 610 instances at 800 calls a second.
     clock::duration first_retry{100};
     clock::duration longest_retry{800};
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -146,6 +146,17 @@
     EXPECT_EQ(store_.watches.back().revision, 4);
 }
 
+TEST_F(store_feed, a_store_that_cannot_watch_is_not_asked_without_a_pause) {
+    // It answers each watch at once, without news. Asked anew at once, 610 instances would make as
+    // many calls as their connections take.
+    become_watching(start);
+    store_.watches.back().done(store::news{.events = {}, .revision = 3}, start);
+    feed_.tick(start + clock::duration{400});
+    EXPECT_EQ(store_.watches.size(), 1U);
+    feed_.tick(start + clock::duration{500});
+    EXPECT_EQ(store_.watches.size(), 2U);
+}
+
 TEST_F(store_feed, begins_no_watch_while_none_is_wanted) {
     become_watching(start);
     feed_.set_wanted(false);
