Fleet: Keep forwarding until others are in rotation, and let packets wait for a start

Two instances of a zone ended 50 ms after a third one had registered again, before the routers probed it; and a process that starts dropped what reached it before it knew the targets (three packets as unknown_token in the first line of one start), so that callers sent again after 200 to 600 ms. Change: an instance that stops counts others that have been registered for a second; the packet socket is read from the first moment at which the targets are known. Ruled out: binding the socket later (the port would answer nothing either, and packets couldn't wait).

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -45,7 +45,7 @@
         return is_changed ? change::applied : change::none;
     }
     if (const auto* peer = std::get_if<peer_entry>(&subject)) {
-        peers_[peer->name] = *peer;
+        peers_[peer->name] = {.entry = *peer, .registered_at = now};
         departed_peers_.erase(peer->name);
         return change::applied;
     }
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -27,6 +27,12 @@
     std::vector<target*> targets;  // listed, or vanished not long ago; in the order of their ids
 };
 
+// A fellow instance, and since when it is registered as far as this instance knows.
+struct known_peer {
+    peer_entry entry;
+    clock::time_point registered_at;
+};
+
 struct directory_limits {
     // A flow may live for so long after its target left the list.
     clock::duration flow_lifetime{60'000};
@@ -66,7 +72,7 @@
     const target* find_target(routing_token token) const;
     bool is_zone_out(std::string_view zone) const { return zones_out_.contains(zone); }
     const std::set<std::string, std::less<>>& zones_out() const { return zones_out_; }
-    const std::map<std::string, peer_entry, std::less<>>& peers() const { return peers_; }
+    const std::map<std::string, known_peer, std::less<>>& peers() const { return peers_; }
     // Peers that left the list within the last departure_memory, and when.
     const std::map<std::string, clock::time_point, std::less<>>& departed_peers() const {
         return departed_peers_;
@@ -93,7 +99,7 @@
     mutable std::map<std::string, pool, std::less<>> pools_;  // by service
     mutable bool are_pools_stale_ = false;
     std::set<std::string, std::less<>> zones_out_;
-    std::map<std::string, peer_entry, std::less<>> peers_;
+    std::map<std::string, known_peer, std::less<>> peers_;
     std::map<std::string, clock::time_point, std::less<>> departed_peers_;
 };
 
--- a/libraries/fleet/newcomer.cpp
+++ b/libraries/fleet/newcomer.cpp
@@ -11,11 +11,11 @@
     // Each newcomer has an order of its own: after a loss of power many ask at the same time.
     const discovery::peer_entry* best = nullptr;
     std::uint64_t best_rank = 0;
-    for (const auto& [name, entry] : known_.peers()) {
+    for (const auto& [name, peer] : known_.peers()) {
         const auto rank = hash_of(hash_of(self_), hash_of(name));
         const bool is_eligible = name != self_ && !asked_.contains(name);
         if (is_eligible && (best == nullptr || rank > best_rank)) {
-            best = &entry;
+            best = &peer.entry;
             best_rank = rank;
         }
     }
--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -40,7 +40,7 @@
 std::vector<const discovery::peer_entry*> peer_digests::next_receivers() {
     std::vector<const discovery::peer_entry*> result;
     if (order_.empty()) {
-        for (const auto& [name, entry] : known_.peers()) {
+        for (const auto& [name, peer] : known_.peers()) {
             if (name != self_) {
                 order_.push_back(name);
             }
@@ -51,7 +51,7 @@
         const auto found = known_.peers().find(order_.back());
         order_.pop_back();
         if (found != known_.peers().end()) {
-            result.push_back(&found->second);
+            result.push_back(&found->second.entry);
         }
     }
     return result;
--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -45,7 +45,7 @@
         const auto rank = hash_of(hash_of(self_), hash_of(name));
         if (peer != known_.peers().end() && (from == nullptr || rank > best_rank)) {
             best_rank = rank;
-            from = &peer->second;
+            from = &peer->second.entry;
         }
     }
     if (!is_ahead_heard) {
--- a/libraries/fleet/stop_plan.h
+++ b/libraries/fleet/stop_plan.h
@@ -7,9 +7,12 @@
 // zone removed a second apart, 0.2% of the requests weren't served instead of 0.7%.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
+#include <string_view>
 
 #include "base/clock.h"
+#include "discovery/directory.h"
 
 namespace bramleytrack::fleet {
 
@@ -19,13 +22,26 @@
     clock::duration quiet{800};
     // What is left of the grace for ending in order.
     clock::duration reserve{700};
+    // The routers probe twice a second, and one answer brings an instance back.
+    clock::duration into_rotation{1'000};
 };
 
+// The zone's other instances that are in rotation as far as this one knows.
+inline std::size_t others_in_rotation(const discovery::directory& known, std::string_view self,
+                                      std::string_view zone, clock::time_point now,
+                                      const stop_limits& limits = {}) {
+    return static_cast<std::size_t>(std::ranges::count_if(known.peers(), [&](const auto& each) {
+        const auto& [name, peer] = each;
+        return name != self && peer.entry.zone == zone &&
+               now - peer.registered_at >= limits.into_rotation;
+    }));
+}
+
 class stop_plan {
 public:
     explicit stop_plan(stop_limits limits = {}) : limits_{limits} {}
 
-    // `others` are the zone's other instances that are registered now.
+    // `others` are the zone's other instances that are in rotation now.
     void begin(clock::time_point now, std::size_t others) {
         is_begun_ = true;
         begun_at_ = now;
--- a/libraries/net/packet_socket.cpp
+++ b/libraries/net/packet_socket.cpp
@@ -44,6 +44,9 @@
         sent_heads_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
     }
     readable_.set<packet_socket, &packet_socket::on_readable>(this);
+}
+
+void packet_socket::start_receiving() {
     readable_.start(socket_.get(), ev::READ);
 }
 
--- a/libraries/net/packet_socket.h
+++ b/libraries/net/packet_socket.h
@@ -33,6 +33,13 @@
     packet_socket(const packet_socket&) = delete;
     packet_socket& operator=(const packet_socket&) = delete;
 
+    // Until this is called, datagrams wait in the socket's buffer.
+    //
+    // Failure: a process that has just started knows no target yet, and drops what the routers send
+    // to it, though it will know all of them a tenth of a second later. Callers send again after
+    // 200 ms at the earliest.
+    void start_receiving();
+
     // Room for the next datagram to send; queue() takes it over.
     std::span<std::uint8_t> next_buffer();
     void queue(std::uint32_t address, std::uint16_t port, std::size_t size);
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -103,6 +103,7 @@
     terminate_.start(SIGTERM);
     reload_.set<steering_daemon, &steering_daemon::on_reload>(this);
     reload_.start(SIGHUP);
+    pauses_.on_event(clock::now());
     settings_text_ = read_settings_();
     log_.write(log_event{"started"}
                    .with("zone", settings_.zone)
@@ -228,7 +229,11 @@
 }
 
 void steering_daemon::on_store_change(std::span<const store::event> events, clock::time_point now) {
-    is_informed_ = true;
+    if (!is_informed_) {
+        is_informed_ = true;
+        pauses_.on_event(now);  // packets that waited for long are no better than after a pause
+        packets_.start_receiving();
+    }
     confirmed_at_ = sources_.confirmed_at(feed_, mirror_.revision());
     take_changes(events, now);
     update_readiness(now);
@@ -297,25 +302,22 @@
         return;
     }
     const auto now = clock::now();
-    stop_.begin(now, others_in_zone());
+    stop_.begin(now, others_in_rotation(now));
     log_.write(log_event{"stopping"}.with("grace_ms", settings_.stop_grace.count()));
     registration_.end(now);
     update_readiness(now);
 }
 
 void steering_daemon::end_when_quiet(clock::time_point now) {
-    if (stop_.may_end(now, packet_at_, others_in_zone(), settings_.stop_grace)) {
+    if (stop_.may_end(now, packet_at_, others_in_rotation(now), settings_.stop_grace)) {
         log_.write(log_event{"stopped"}.with("after_ms", stop_.elapsed(now).count()));
         observability::flush_log();
         loop_.break_loop(ev::ALL);
     }
 }
 
-std::size_t steering_daemon::others_in_zone() const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(directory_.peers(), [this](const auto& each) {
-            return each.first != settings_.name && each.second.zone == settings_.zone;
-        }));
+std::size_t steering_daemon::others_in_rotation(clock::time_point now) const {
+    return fleet::others_in_rotation(directory_, settings_.name, settings_.zone, now);
 }
 
 void steering_daemon::on_reload(ev::sig& /*watcher*/, int /*events*/) {
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -63,7 +63,7 @@
     void report_ignored_keys();
     void update_readiness(clock::time_point now);
     void end_when_quiet(clock::time_point now);
-    std::size_t others_in_zone() const;
+    std::size_t others_in_rotation(clock::time_point now) const;
     steering::belief belief() const;
     std::string render_metrics() const;
 
--- a/tests/stop_plan_test.cpp
+++ b/tests/stop_plan_test.cpp
@@ -47,5 +47,24 @@
     EXPECT_FALSE(plan.may_end(at(3'000), start, 0, grace));
 }
 
+// Three of three instances of a zone are restarted a second apart. The first is back and
+// registered, and the other two end at once, before the routers have probed it: they send packets
+// to processes that have ended.
+TEST(stop_plan, one_that_has_just_come_back_is_not_in_rotation_yet) {
+    discovery::directory known;
+    const auto add = [&known](const char* name, const char* zone, clock::time_point now) {
+        known.apply(
+            discovery::peer_entry{.name = name, .zone = zone, .address = "", .pull_address = ""}, 1,
+            false, now);
+    };
+    add("self", "north", start);
+    add("near", "north", start);
+    add("far", "south", start);
+    EXPECT_EQ(fleet::others_in_rotation(known, "self", "north", at(900)), 0U);
+    EXPECT_EQ(fleet::others_in_rotation(known, "self", "north", at(1'000)), 1U);
+    add("near", "north", at(5'000));  // it has started again and registers
+    EXPECT_EQ(fleet::others_in_rotation(known, "self", "north", at(5'500)), 0U);
+}
+
 }  // namespace
 }  // namespace bramleytrack
