--- a/standins/soak/soak_fleet.cpp
+++ b/standins/soak/soak_fleet.cpp
@@ -111,7 +111,7 @@
     for (int zone = 0; zone < zones; ++zone) {
         regions[zone_name(zone)] = "region";
     }
-    const auto path = options_.workspace + "/" + instance.name + ".json";
+    auto path = options_.workspace + "/" + instance.name + ".json";
     std::ofstream{path} << json{
         {"name", instance.name},
         {"zone", zone_name(instance.zone)},
--- a/tests/steering_settings_test.cpp
+++ b/tests/steering_settings_test.cpp
@@ -54,8 +54,7 @@
 // to start. Fields that aren't known are named, once, and change nothing else; a slip of the finger
 // still shows, since the field that was meant is then missing.
 TEST(steering_settings, leaves_unknown_fields_aside_and_names_them) {
-    const auto parsed =
-        parse_steering_settings(with("\"name\"", "\"nam\": {\"b\": [1]}, \"name\""));
+    const auto parsed = parse_steering_settings(with("\"name\"", R"("nam": {"b": [1]}, "name")"));
     ASSERT_TRUE(std::holds_alternative<steering_settings>(parsed));
     auto read = std::get<steering_settings>(parsed);
     EXPECT_EQ(read.ignored_keys, std::vector<std::string>{"nam"});
@@ -83,7 +82,7 @@
     const auto own = std::get<steering_settings>(parse_steering_settings(whole));
     EXPECT_EQ(own.advertised_peer_address, own.peer_address);
     const auto other = std::get<steering_settings>(parse_steering_settings(
-        with("\"name\"", "\"advertised_pull_address\": \"10.9.0.1:5\", \"name\"")));
+        with("\"name\"", R"("advertised_pull_address": "10.9.0.1:5", "name")")));
     EXPECT_EQ(other.advertised_pull_address, "10.9.0.1:5");
     EXPECT_EQ(other.pull_address, own.pull_address);
     EXPECT_EQ(faults_of(with("\"name\"", "\"advertised_peer_address\": 1, \"name\"")).front().path,
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -169,8 +169,8 @@
 
 TEST(store_mirror, remembers_a_bounded_number_of_values_that_went) {
     mirror known;
-    constexpr int many = 5'000;
-    for (int i = 1; i <= many; ++i) {
+    constexpr std::int64_t many = 5'000;
+    for (std::int64_t i = 1; i <= many; ++i) {
         const auto key = "k" + std::to_string(i);
         known.apply(std::vector<event>{item{.key = key, .value = "v", .revision = 2 * i},
                                        removal{.key = key, .revision = 2 * i + 1}});
