--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -15,13 +15,18 @@
 constexpr std::uint32_t answer_size = 500;
 
 // The value of "key=value" among the arguments.
-int number_of(const std::vector<std::string>& arguments, const std::string& key, int fallback) {
+std::string text_of(const std::vector<std::string>& arguments, const std::string& key) {
     for (const auto& each : arguments) {
         if (each.starts_with(key + "=")) {
-            return std::stoi(each.substr(key.size() + 1));
+            return each.substr(key.size() + 1);
         }
     }
-    return fallback;
+    return {};
+}
+
+int number_of(const std::vector<std::string>& arguments, const std::string& key, int fallback) {
+    const auto text = text_of(arguments, key);
+    return text.empty() ? fallback : std::stoi(text);
 }
 
 }  // namespace
@@ -41,19 +46,28 @@
     {"ack", &steering_session::acknowledge},
     {"close", &steering_session::close},
     {"stranger", &steering_session::send_as_stranger},
-    {"advance", &steering_session::advance}};
-
-steering_session::steering_session()
-    : now_{epoch},
-      digests_{known_, "self", 1},
-      cold_{"self"},
-      subject_{{.zone = "north", .regions = {{"north", "home"}, {"south", "home"}}},
-               known_,
-               cold_,
-               digests_,
-               *this,
-               *this} {
-    cold_.on_registered(epoch);
+    {"advance", &steering_session::advance},
+    {"instance", &steering_session::add_instance},
+    {"catch_up", &steering_session::catch_up},
+    {"digests", &steering_session::exchange_digests}};
+
+steering_session::node::node(std::string own_name, const std::string& zone, event_log& log,
+                             steering::flow_observer& observer)
+    : name{std::move(own_name)},
+      digests{known, name, 1},
+      cold{name},
+      subject{{.zone = zone, .regions = {{"north", "home"}, {"south", "home"}}},
+              known,
+              cold,
+              digests,
+              log,
+              observer} {}
+
+steering_session::steering_session() : now_{epoch} {
+    event_log& log = *this;
+    steering::flow_observer& observer = *this;
+    nodes_.push_back(std::make_unique<node>("self", "north", log, observer));
+    nodes_.front()->cold.on_registered(epoch);
 }
 
 void steering_session::run(const std::string& line) {
@@ -81,6 +95,9 @@
     for (std::size_t i = 2; i < arguments.size(); ++i) {
         const auto equals = arguments[i].find('=');
         const auto service = arguments[i].substr(0, equals);
+        if (service == "to") {
+            continue;
+        }
         route.splits.push_back(
             {.service = service,
              .weight = static_cast<std::uint32_t>(std::stoi(arguments[i].substr(equals + 1)))});
@@ -91,21 +108,80 @@
     }
     std::erase_if(catalogue_.routes, [&](const auto& each) { return each.name == route.name; });
     catalogue_.routes.push_back(route);
-    publish_catalogue();
+    publish_catalogue(arguments);
 }
 
 void steering_session::drop_route(const words& arguments) {
     std::erase_if(catalogue_.routes, [&](const auto& each) { return each.name == arguments[0]; });
-    publish_catalogue();
+    publish_catalogue(arguments);
 }
 
-void steering_session::publish_catalogue() {
+void steering_session::publish_catalogue(const words& arguments) {
     ++catalogue_.version;
-    apply(catalogue_);
+    apply(catalogue_, arguments);
 }
 
-void steering_session::apply(const discovery::record& subject) {
-    known_.apply(subject, ++revision_, false, now_);
+void steering_session::apply(const discovery::record& subject, const words& arguments) {
+    published_.push_back({.content = subject, .revision = ++revision_});
+    const auto to = "," + text_of(arguments, "to") + ",";
+    for (auto& each : nodes_) {
+        if (to == ",," || to.find("," + each->name + ",") != std::string::npos) {
+            tell(*each, published_.back());
+        } else {
+            each->missed.push_back(published_.size() - 1);
+        }
+    }
+}
+
+void steering_session::tell(node& to, const publication& what) {
+    to.known.apply(what.content, what.revision, false, now_);
+}
+
+steering_session::node& steering_session::instance_named(const std::string& name) {
+    const auto found =
+        std::ranges::find_if(nodes_, [&name](const auto& each) { return each->name == name; });
+    if (found == nodes_.end()) {
+        throw std::invalid_argument{"no instance is called " + name};
+    }
+    return **found;
+}
+
+void steering_session::add_instance(const words& arguments) {
+    event_log& log = *this;
+    steering::flow_observer& observer = *this;
+    nodes_.push_back(std::make_unique<node>(arguments[0], arguments[1], log, observer));
+    auto& made = *nodes_.back();
+    made.cold.on_registered(now_);
+    for (const auto& each : published_) {
+        tell(made, each);
+    }
+    if (nodes_.size() == 2) {
+        apply(
+            discovery::peer_entry{
+                .name = "self", .zone = "north", .address = "", .pull_address = ""},
+            {});
+    }
+    apply(
+        discovery::peer_entry{
+            .name = made.name, .zone = arguments[1], .address = "", .pull_address = ""},
+        {});
+}
+
+void steering_session::catch_up(const words& arguments) {
+    auto& subject = instance_named(arguments[0]);
+    for (const auto each : std::exchange(subject.missed, {})) {
+        tell(subject, published_[each]);
+    }
+}
+
+void steering_session::exchange_digests(const words& /*arguments*/) {
+    for (const auto& from : nodes_) {
+        wire::digest content;
+        content.loads = from->digests.loads_of(from->subject.flows(), now_);
+        for (const auto& to : nodes_) {
+            to->digests.on_digest(from->name, content, now_);
+        }
+    }
 }
 
 void steering_session::add_target(const words& arguments) {
@@ -115,17 +191,17 @@
     entry.zone = arguments[2];
     entry.slots = 2;
     entry.cold_for = clock::duration{number_of(arguments, "cold", 0)};
-    apply(entry);
+    apply(entry, arguments);
 }
 
 void steering_session::drain_target(const words& arguments) {
     auto& entry = entries_.at(arguments[0]);
     entry.state = discovery::target_state::draining;
-    apply(entry);
+    apply(entry, arguments);
 }
 
 void steering_session::remove_target(const words& arguments) {
-    apply(discovery::target_removed{arguments[0]});
+    apply(discovery::target_removed{arguments[0]}, arguments);
 }
 
 void steering_session::mute_target(const words& arguments) {
@@ -133,11 +209,11 @@
 }
 
 void steering_session::take_zone_out(const words& arguments) {
-    apply(discovery::zone_out{.zone = arguments[0]});
+    apply(discovery::zone_out{.zone = arguments[0]}, arguments);
 }
 
 void steering_session::take_zone_back(const words& arguments) {
-    apply(discovery::zone_out{.zone = arguments[0], .is_out = false});
+    apply(discovery::zone_out{.zone = arguments[0], .is_out = false}, arguments);
 }
 
 steering::segment steering_session::packet_of(const std::string& flow) const {
@@ -167,7 +243,7 @@
     packet.is_opening = true;
     flow.last = packet;
     flow.next_sequence = opening_sequence;
-    deliver(arguments[0], packet);
+    deliver(arguments[0], packet, arguments);
 }
 
 void steering_session::send_data(const words& arguments) {
@@ -176,38 +252,45 @@
     auto& flow = flows_.at(arguments[0]);
     flow.next_sequence += packet.length;
     flow.last = packet;
-    deliver(arguments[0], packet);
+    deliver(arguments[0], packet, arguments);
 }
 
 void steering_session::send_again(const words& arguments) {
-    deliver(arguments[0], flows_.at(arguments[0]).last);
+    deliver(arguments[0], flows_.at(arguments[0]).last, arguments);
 }
 
 void steering_session::acknowledge(const words& arguments) {
-    deliver(arguments[0], packet_of(arguments[0]));
+    deliver(arguments[0], packet_of(arguments[0]), arguments);
 }
 
 void steering_session::close(const words& arguments) {
     auto packet = packet_of(arguments[0]);
     packet.is_closing = true;
-    deliver(arguments[0], packet);
+    deliver(arguments[0], packet, arguments);
 }
 
 void steering_session::send_as_stranger(const words& arguments) {
     auto packet = packet_of(arguments[0]);
     packet.token = static_cast<discovery::routing_token>(std::stoul(arguments[1]));
-    deliver(arguments[0], packet);
+    deliver(arguments[0], packet, arguments);
 }
 
 void steering_session::advance(const words& arguments) {
     now_ += clock::duration{std::stoi(arguments[0])};
-    subject_.expire(now_);
-    known_.expire(now_);
+    for (auto& each : nodes_) {
+        each->subject.expire(now_);
+        each->known.expire(now_);
+    }
 }
 
-void steering_session::deliver(const std::string& flow, const steering::segment& content) {
-    const auto made = subject_.on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
-    auto line = std::to_string((now_ - epoch).count()) + " flow " + flow + ": ";
+void steering_session::deliver(const std::string& flow, const steering::segment& content,
+                               const words& arguments) {
+    const auto via = text_of(arguments, "via");
+    auto& subject = via.empty() ? *nodes_.front() : instance_named(via);
+    const auto made =
+        subject.subject.on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
+    auto line = std::to_string((now_ - epoch).count()) + " flow " + flow +
+                (via.empty() ? "" : " via " + via) + ": ";
     if (const auto* forwarded = std::get_if<steering::forward>(&made)) {
         const auto& id = forwarded->to->entry.id;
         line += "to " + id;
@@ -224,7 +307,7 @@
         line += "dropped, " + std::string{name_of(std::get<steering::drop>(made).reason)};
     }
     transcript_.push_back(line);
-    for (const auto& each : subject_.take_resets()) {
+    for (const auto& each : subject.subject.take_resets()) {
         transcript_.push_back("  flow " +
                               std::to_string(each.flow.caller.port - first_caller_port) +
                               ": reset, sequence " + std::to_string(each.sequence));
--- a/tests/support/steering_session.h
+++ b/tests/support/steering_session.h
@@ -1,4 +1,9 @@
-// One instance that routes by token, driven by a script; see tests/golden/steering/*.session.
+// Instances that route by token, driven by a script; see tests/golden/steering/*.session.
+//
+// There is one instance, self in zone north, until `instance NAME ZONE` adds others, which begin
+// with all that was published. `via=NAME` names the instance that a packet reaches; `to=A,B` lets
+// only those hear of a change, and `catch_up NAME` tells an instance what it missed. `digests`
+// passes the load of targets, as each instance sees it, to all others.
 //
 // Commands: route NAME PORT SERVICE=WEIGHT..., drop ROUTE, target ID SERVICE ZONE [cold=MS], drain
 // ID, gone ID, zone_out ZONE, zone_back ZONE, open FLOW ROUTE [copy=N], data FLOW bytes=N, again
@@ -8,6 +13,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +39,23 @@
         discovery::routing_token token = 0;  // what the target's last packet carried
     };
 
+    // One instance: what it knows, and what decides.
+    struct node {
+        node(std::string own_name, const std::string& zone, event_log& log,
+             steering::flow_observer& observer);
+
+        std::string name;
+        discovery::directory known;
+        fleet::peer_digests digests;
+        steering::cold_gate cold;
+        steering::steering subject;
+        std::vector<std::size_t> missed;  // of published_
+    };
+    struct publication {
+        discovery::record content;
+        std::int64_t revision = 0;
+    };
+
     using words = std::vector<std::string>;
     using command = void (steering_session::*)(const words& arguments);
 
@@ -52,9 +75,15 @@
     void send_as_stranger(const words& arguments);
     void advance(const words& arguments);
 
-    void publish_catalogue();
-    void apply(const discovery::record& subject);
-    void deliver(const std::string& flow, const steering::segment& content);
+    void add_instance(const words& arguments);
+    void catch_up(const words& arguments);
+    void exchange_digests(const words& arguments);
+
+    void publish_catalogue(const words& arguments);
+    void apply(const discovery::record& subject, const words& arguments);
+    void tell(node& to, const publication& what);
+    node& instance_named(const std::string& name);
+    void deliver(const std::string& flow, const steering::segment& content, const words& arguments);
     steering::segment packet_of(const std::string& flow) const;
 
     bool admits(log_kind kind, clock::time_point now) override;
@@ -66,10 +95,8 @@
     static const std::map<std::string, command> commands;
 
     clock::time_point now_;
-    discovery::directory known_;
-    fleet::peer_digests digests_;
-    steering::cold_gate cold_;
-    steering::steering subject_;
+    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<publication> published_;
     discovery::catalogue catalogue_;
     std::map<std::string, discovery::target_entry> entries_;
     std::map<std::string, caller_flow> flows_;
