--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -47,22 +47,6 @@
         "a text of at least 12 characters"},
 };
 
-// The passphrase stays out of messages: they end up in logs.
-fault fault_of(const key& subject, const json& root) {
-    const std::string name{subject.name};
-    std::string found = "nothing";
-    if (root.contains(name)) {
-        const bool is_secret = subject.member == &instance_settings::fleet_passphrase;
-        constexpr std::size_t max_shown = 60;
-        found =
-            is_secret ? "another" : root[name].dump(-1, ' ', true, json::error_handler_t::replace);
-        found = found.substr(0, max_shown);
-    }
-    return {.line = 0,
-            .path = "/" + name,
-            .message = "expected " + std::string{subject.allowed} + ", found " + found};
-}
-
 std::vector<fault> read_keys(const json& root, instance_settings& result) {
     std::vector<fault> faults;
     for (const auto& each : keys) {
@@ -72,7 +56,9 @@
         if (is_text && each.is_valid(root[name].get_ref<const std::string&>())) {
             result.*each.member = root[name].get<std::string>();
         } else {
-            faults.push_back(fault_of(each, root));
+            const bool is_secret = each.member == &instance_settings::fleet_passphrase;
+            faults.push_back(expected(root, each.name, each.allowed,
+                                      is_secret ? value_kind::secret : value_kind::plain));
         }
     }
     std::vector<std::string_view> names;
--- a/libraries/settings/settings_text.cpp
+++ b/libraries/settings/settings_text.cpp
@@ -14,6 +14,23 @@
 constexpr std::size_t max_settings_size = 65'536;
 constexpr std::size_t max_name_length = 64;
 constexpr std::size_t min_passphrase_length = 12;
+constexpr std::size_t max_shown_value = 80;
+
+std::string shown(const json& root, std::string_view name, value_kind kind) {
+    const auto found = root.find(name);
+    if (found == root.end()) {
+        return "nothing";
+    }
+    if (kind == value_kind::secret) {
+        return "another";
+    }
+    // Text that isn't UTF-8 must not end the program while its fault is being reported.
+    auto text = found->dump(-1, ' ', true, json::error_handler_t::replace);
+    if (text.size() > max_shown_value) {
+        text = text.substr(0, max_shown_value) + "...";
+    }
+    return text;
+}
 
 }  // namespace
 
@@ -50,6 +67,12 @@
     return faults;
 }
 
+fault expected(const json& root, std::string_view name, std::string_view allowed, value_kind kind) {
+    return {.line = 0,
+            .path = "/" + std::string{name},
+            .message = "expected " + std::string{allowed} + ", found " + shown(root, name, kind)};
+}
+
 bool is_name(std::string_view text) {
     return !text.empty() && text.size() <= max_name_length &&
            text.find_first_of(" \"\\/\n\t") == std::string_view::npos;
--- a/libraries/settings/settings_text.h
+++ b/libraries/settings/settings_text.h
@@ -23,6 +23,13 @@
 std::vector<configuration::fault> unknown_keys(const nlohmann::json& root,
                                                std::span<const std::string_view> known);
 
+// Whether a key's value may be shown to whoever reads its fault: messages end up in logs.
+enum class value_kind { plain, secret };
+
+// The fault of a key whose value is missing or isn't what is allowed, with what was found.
+configuration::fault expected(const nlohmann::json& root, std::string_view name,
+                              std::string_view allowed, value_kind kind = value_kind::plain);
+
 // A name of an instance or zone: not empty, at most 64 characters, none that a log line would
 // quote.
 bool is_name(std::string_view text);
--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -72,31 +72,6 @@
 
 constexpr std::string_view seeds_key = "seeds";
 constexpr std::string_view zones_key = "zones";
-constexpr std::size_t max_shown_value = 80;
-
-// What stands at the key, for the person who wrote it. A passphrase is never shown.
-std::string shown(const json& root, std::string_view name) {
-    const auto found = root.find(name);
-    if (found == root.end()) {
-        return "nothing";
-    }
-    if (name == passphrase_key) {
-        return "another value";
-    }
-    // Text that isn't UTF-8 must not end the program while its fault is being reported.
-    auto text = found->dump(-1, ' ', false, json::error_handler_t::replace);
-    if (text.size() > max_shown_value) {
-        text = text.substr(0, max_shown_value) + "...";
-    }
-    return text;
-}
-
-fault expected(const json& root, std::string_view name, std::string_view allowed) {
-    return {.line = 0,
-            .path = "/" + std::string{name},
-            .message = "expected " + std::string{allowed} + ", found " + shown(root, name)};
-}
-
 bool read_zones(const json& root, steering_settings& result) {
     const auto found = root.find(zones_key);
     if (found == root.end() || !found->is_object()) {
@@ -138,7 +113,9 @@
         if (is_valid) {
             result.*each.member = found->get<std::string>();
         } else {
-            faults.push_back(expected(root, each.name, each.allowed));
+            const bool is_secret = each.name == passphrase_key;
+            faults.push_back(expected(root, each.name, each.allowed,
+                                      is_secret ? value_kind::secret : value_kind::plain));
         }
     }
     for (const auto& each : optional_addresses) {
