Standins: Know a flow's target from the answer to its opening

The caller knew a flow's target by its first answer, so that a flow which opened at the target that the run kills, and whose first request was never answered, counted as a live target's. Change: the target is the sender of the first answer to the opening; the summary counts resets before any answer. The check is stricter than before: it knows the target of every flow.

--- a/standins/flow_caller/flow_caller.cpp
+++ b/standins/flow_caller/flow_caller.cpp
@@ -141,7 +141,7 @@
         flows_.erase(found);
         return;
     }
-    on_packet(found->first, found->second, *packet);
+    on_packet(found->first, found->second, *packet, sender);
 }
 
 void flow_caller::on_reset(const flow& subject, const flow_packet& packet,
@@ -152,6 +152,7 @@
     }
     const bool is_from_balancer = packet.sum == 0;
     ++(is_from_balancer ? tally_.reset_by_balancer : tally_.reset_by_target)[subject.target];
+    tally_.reset_before_any_answer += is_from_balancer && !subject.has_answer ? 1 : 0;
     if (reset_) {
         reset_({.target = subject.target,
                 .sender = std::string{sender},
@@ -161,12 +162,15 @@
     }
 }
 
-void flow_caller::on_packet(std::uint16_t port, flow& subject, const flow_packet& packet) {
+void flow_caller::on_packet(std::uint16_t port, flow& subject, const flow_packet& packet,
+                            std::string_view sender) {
     subject.echo = packet.echo;
     if (packet.has(flag_syn)) {
         if (subject.at == step::opening) {
             ++tally_.opened;
             subject.opened_at = clock::now();
+            const auto target = options_.targets.find(std::string{sender});
+            subject.target = target == options_.targets.end() ? "" : target->second;
             subject.acknowledged = packet.sequence + 1;
             subject.at = step::idle;
             subject.idle_until = clock::now();
@@ -187,8 +191,8 @@
         // A repeat of the answer before; it isn't taken for this one.
         return;
     }
-    subject.target = packet.data.substr(space + 1);
-    const auto service = options_.services.find(subject.target);
+    subject.has_answer = true;
+    const auto service = options_.services.find(packet.data.substr(space + 1));
     const bool is_right =
         service != options_.services.end() && service->second == subject.route->service;
     tally_.wrong_answers += is_right ? 0 : 1;
--- a/standins/flow_caller/flow_caller.h
+++ b/standins/flow_caller/flow_caller.h
@@ -27,13 +27,14 @@
     std::string address;  // ip:port where packets for callers arrive
     std::vector<called_route> routes;
     std::map<std::string, std::string> services;  // by the target's id
+    std::map<std::string, std::string> targets;   // ids by ip:port
     int flows = 60;
     int seed = 1;
 };
 
 // A reset of a flow that was open.
 struct flow_reset {
-    std::string target;  // that the flow was open at; empty when it hadn't answered a request yet
+    std::string target;  // that the flow was open at
     std::string sender;  // ip:port of the process that sent it
     bool is_from_balancer = false;
     int opening_copies = 0;  // that the caller sent; two targets may have taken the flow then
@@ -50,6 +51,7 @@
     int wrong_answers = 0;                         // another request's answer, or another service's
     std::map<std::string, int> reset_by_balancer;  // open flows, by target
     std::map<std::string, int> reset_by_target;
+    int reset_before_any_answer = 0;  // of those that the balancer reset
     std::vector<std::int64_t> latencies_ms;
 };
 
@@ -76,7 +78,8 @@
         int copies = 0;
         int requests_left = 0;
         std::string request;
-        std::string target;  // that answered last
+        std::string target;  // that the flow is open at: the first to answer its opening
+        bool has_answer = false;
         flow_packet last_sent;
         clock::time_point opened_at;
         clock::time_point started;  // of the opening or the request
@@ -87,7 +90,8 @@
 
     void on_tick(ev::timer& watcher, int events);
     void on_datagram(std::string_view sender, std::span<const std::uint8_t> datagram);
-    void on_packet(std::uint16_t port, flow& subject, const flow_packet& packet);
+    void on_packet(std::uint16_t port, flow& subject, const flow_packet& packet,
+                   std::string_view sender);
     void on_reset(const flow& subject, const flow_packet& packet, std::string_view sender);
     void on_answer(flow& subject, const flow_packet& packet);
     void open_one(clock::time_point now);
--- a/standins/flow_caller/main.cpp
+++ b/standins/flow_caller/main.cpp
@@ -80,10 +80,11 @@
                                        share * static_cast<double>(latencies.size() - 1))]);
     };
     std::printf(
-        "asked %d, answered %d, lost %d, flows opened %d, refused %d, not opened %d, "
-        "p50 %lld ms, p99 %lld ms\n",
+        "asked %d, answered %d, lost %d, flows opened %d, refused %d, not opened %d, reset before "
+        "any "
+        "answer %d, p50 %lld ms, p99 %lld ms\n",
         seen.asked, seen.answered, seen.late_or_lost, seen.opened, seen.refused, seen.not_opened,
-        at(0.5), at(0.99));
+        seen.reset_before_any_answer, at(0.5), at(0.99));
     const bool is_served = seen.asked > 0 && seen.answered >= least_answered * seen.asked;
     bool has_held = judge("open flows of live targets that the balancer reset",
                           count_but(seen.reset_by_balancer, ended));
@@ -111,6 +112,7 @@
     }
     for (const auto& each : fleet["targets"]) {
         options.services[each["id"]] = each["service"];
+        options.targets[each["address"]] = each["id"];
         if (!ended.contains(each["id"].get<std::string>())) {
             target_addresses.push_back(each["address"]);
         }
--- a/standins/soak/soak.cpp
+++ b/standins/soak/soak.cpp
@@ -77,6 +77,7 @@
     options.seed = static_cast<int>(options_.seed);
     for (const auto& each : fleet_.targets()) {
         options.services[each.id] = each.service;
+        options.targets[each.address] = each.id;
     }
     std::vector<router::instance> instances;
     for (const auto& each : fleet_.instances()) {
@@ -389,7 +390,8 @@
     auto& targets = fleet_.targets();
     const auto target = std::ranges::find(targets, what.target, &soak_target::id);
     if (target == targets.end()) {
-        return;  // it had no answer yet, so nobody knows where it is open
+        complain("a flow was open at a stranger, " + what.sender);
+        return;
     }
     if (!what.is_from_balancer) {
         on_reset_by_target(what, *target);
