Steering, Docs: Say of late answers only what was measured

Cause: read as a newcomer: path_health claimed that three answers in a hundred came late to copies, and 'some 3%'. That share was estimated, not measured. Nothing else changed.

--- a/libraries/steering/path_health.h
+++ b/libraries/steering/path_health.h
@@ -4,8 +4,8 @@
 // silent from here, and flows of targets that live would be reset. It shows in the answers: none
 // come, or many come only to data that callers had to send again. A few such answers are no sign of
 // it, since a target that takes over 200 ms makes callers send again too: when four targets of
-// eighteen died, three in a hundred answers of the others were of that kind, and a rule that took
-// any of them for a loss left all flows of the dead targets to their deadlines.
+// eighteen died, each instance saw such an answer at least every 1.4 s, and a rule that took any of
+// them for a loss left the flows of the dead targets to their deadlines.
 #pragma once
 
 #include "base/clock.h"
