--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -132,6 +132,8 @@
         choice.has_limit = choice.has_limit && name != "open_request_limit";
         choice.shares_loads = choice.shares_loads && name != "shared_loads";
         choice.knows_callers = choice.knows_callers && name != "caller_shares";
+        choice.heeds_copies = choice.heeds_copies && name != "opening_copies";
+        choice.ends_dead_flows = choice.ends_dead_flows && name != "dead_flows";
     }
     for (const auto& pattern : all_overload_patterns()) {
         if (!is_wanted(wanted, pattern.name)) {
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -17,6 +17,10 @@
 constexpr clock::duration digest_interval{300};
 constexpr clock::duration network{2};  // caller to target and back
 constexpr clock::duration opening_copy{200};
+constexpr clock::duration second_opening_copy{400};  // after the first one
+constexpr clock::duration opening_limit{800};        // after that
+constexpr clock::duration first_repeat{200};         // of data; the pause doubles
+constexpr clock::duration budget{800};               // of a request; its caller gives up then
 constexpr int most_tries = 3;
 constexpr double slow_factor = 5;
 // Callers keep a flow for many requests, with pauses between them.
@@ -24,6 +28,8 @@
 constexpr double work_spread = 0.5;
 constexpr std::uint16_t request_size = 100;
 constexpr std::uint32_t generations = 16;
+constexpr std::uint16_t short_port = 443;
+constexpr std::uint16_t long_port = 444;
 constexpr std::uint32_t first_own_address = 1'000;
 
 class quiet_log final : public event_log {
@@ -47,6 +53,7 @@
 
 struct host {
     double factor = 1;
+    bool is_dead = false;
     int running = 0;
     std::deque<int> waiting;  // callers
 };
@@ -57,12 +64,17 @@
     std::size_t host = 0;
     std::uint32_t member = 0;
     std::uint32_t generation = 0;  // of its flows
+    std::uint32_t opening_copies = 0;
+    bool asks_long = false;
     bool has_flow = false;
+    bool is_waiting = false;  // for the answer to a request
+    int step = 0;             // rises with each packet; older timers mean nothing then
     int tries = 0;
     clock::time_point asked;
+    clock::duration repeat_after{0};
 };
 
-enum class event_kind { ask, opened, arrived, done, digest };
+enum class event_kind { ask, opened, arrived, done, digest, copy_opening, repeat, die };
 
 struct event {
     clock::time_point at;
@@ -85,14 +97,19 @@
             hosts_[i].factor = slow_factor;
         }
         // A caller asks again after its pause and the answer's time; so many make up the load.
-        const double per_second =
-            pattern.load * pattern.targets * pattern.slots * 1000.0 / pattern.work_ms;
-        const auto number = std::lround(per_second * (mean_pause_ms + pattern.work_ms) / 1000.0);
+        const double work_ms =
+            pattern.work_ms + pattern.long_share * (pattern.long_work_ms - pattern.work_ms);
+        const double per_second = pattern.load * pattern.targets * pattern.slots * 1000.0 / work_ms;
+        const auto number = std::lround(per_second * (mean_pause_ms + work_ms) / 1000.0);
         callers_.resize(static_cast<std::size_t>(number));
         for (int i = 0; i < static_cast<int>(callers_.size()); ++i) {
-            callers_[static_cast<std::size_t>(i)].member = member_of(i);
+            auto& made = callers_[static_cast<std::size_t>(i)];
+            made.member = member_of(i);
+            made.asks_long = i < std::lround(pattern.long_share * static_cast<double>(number));
             schedule(pause(), event_kind::ask, i);
         }
+        constexpr int third = 3;
+        schedule(pattern.length / third, event_kind::die, 0);
         schedule(digest_interval, event_kind::digest, 0);
     }
 
@@ -115,6 +132,10 @@
             result.push_back({.name = "in time, light",
                               .value = static_cast<double>(light_in_time_) / light_asked_});
         }
+        if (pattern_.long_share > 0) {
+            result.push_back({.name = "in time, short",
+                              .value = static_cast<double>(short_in_time_) / short_asked_});
+        }
         return result;
     }
 
@@ -124,11 +145,16 @@
         text.version = 1;
         discovery::route route;
         route.name = "feed";
-        route.address = {.address = 1, .port = 443};
+        route.address = {.address = 1, .port = short_port};
         route.splits = {{.service = "board", .weight = 1}};
         // Without an objective no answer is late, and the limit never falls.
         route.latency_objective = choice_.has_limit ? pattern_.objective : clock::duration{0};
+        route.is_idempotent = true;
         text.routes = {route};
+        route.name = "archive";
+        route.address.port = long_port;
+        route.latency_objective = choice_.has_limit ? pattern_.long_objective : clock::duration{0};
+        text.routes.push_back(route);
         text.services = {{.name = "board"}};
         known_.apply(text, 1, false, epoch);
         for (int i = 0; i < pattern_.targets; ++i) {
@@ -183,6 +209,7 @@
                 callers_[static_cast<std::size_t>(next.subject)].tries = 0;
                 ++asked_;
                 light_asked_ += is_light(next.subject) ? 1 : 0;
+                short_asked_ += callers_[static_cast<std::size_t>(next.subject)].asks_long ? 0 : 1;
                 ask(next.subject);
                 break;
             case event_kind::opened:
@@ -198,6 +225,22 @@
                 exchange_digests();
                 schedule(digest_interval, event_kind::digest, 0);
                 break;
+            case event_kind::copy_opening:
+                copy_opening(next.subject, next.other);
+                break;
+            case event_kind::repeat:
+                repeat(next.subject, next.other);
+                break;
+            case event_kind::die:
+                let_targets_die();
+                break;
+        }
+    }
+
+    void let_targets_die() {
+        const auto dead = std::lround(pattern_.dead_share * pattern_.targets);
+        for (std::size_t i = 0; i < static_cast<std::size_t>(dead); ++i) {
+            hosts_[i].is_dead = true;
         }
     }
 
@@ -211,8 +254,7 @@
     void ask(int index) {
         auto& subject = callers_[static_cast<std::size_t>(index)];
         if (++subject.tries > most_tries) {
-            ++failed_;
-            schedule(pause(), event_kind::ask, index);
+            give_up(index);
             return;
         }
         if (subject.has_flow) {
@@ -227,20 +269,49 @@
         subject.last.flow.caller = {
             .address = choice_.knows_callers ? subject.member : first_own_address + port,
             .port = static_cast<std::uint16_t>(port)};
-        subject.last.flow.route = {.address = 1, .port = 443};
+        subject.last.flow.route = {.address = 1,
+                                   .port = subject.asks_long ? long_port : short_port};
         subject.last.is_opening = true;
         subject.instance = random_() % instances_.size();
+        send_opening(index, 0);
+    }
+
+    void send_opening(int index, std::uint32_t copy) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        subject.last.copy = choice_.heeds_copies ? copy : 0;
+        ++subject.step;
         const auto made = deliver(subject, subject.last);
-        if (const auto* forwarded = std::get_if<steering::forward>(&made)) {
-            subject.host = host_of_.at(forwarded->to->token);
-            subject.last.is_opening = false;
-            subject.last.token = forwarded->to->token;
-            subject.last.acknowledged = 1;
-            subject.has_flow = true;
-            schedule(network, event_kind::opened, index);
-        } else {
+        const auto* forwarded = std::get_if<steering::forward>(&made);
+        if (forwarded == nullptr) {
             const bool is_refused = std::holds_alternative<steering::refuse>(made);
             schedule(is_refused ? network : opening_copy, event_kind::opened, index);
+            return;
+        }
+        subject.host = host_of_.at(forwarded->to->token);
+        if (hosts_[subject.host].is_dead) {
+            subject.opening_copies = copy;
+            const auto wait = copy == 0   ? opening_copy
+                              : copy == 1 ? second_opening_copy
+                                          : opening_limit;
+            schedule(wait, event_kind::copy_opening, index, subject.step);
+            return;
+        }
+        subject.last.is_opening = false;
+        subject.last.token = forwarded->to->token;
+        subject.last.acknowledged = 1;
+        subject.has_flow = true;
+        schedule(network, event_kind::opened, index);
+    }
+
+    void copy_opening(int index, int step) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        if (step != subject.step) {
+            return;
+        }
+        if (subject.opening_copies == 2) {
+            ask(index);
+        } else {
+            send_opening(index, subject.opening_copies + 1);
         }
     }
 
@@ -251,14 +322,78 @@
             return;
         }
         subject.last.length = request_size;
-        deliver(subject, subject.last);
-        subject.last.sequence += request_size;
+        ++subject.step;
+        subject.is_waiting = true;
+        subject.repeat_after = first_repeat;
+        send_data(index);
         schedule(network / 2, event_kind::arrived, index);
     }
 
+    // Sends the newest data, once more perhaps, and the next copy later. Only targets that are dead
+    // leave it unacknowledged.
+    void send_data(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        const auto made = deliver(subject, subject.last);
+        end_flows(*instances_[subject.instance].core);
+        if (hosts_[subject.host].is_dead && subject.has_flow) {
+            const bool is_refused = std::holds_alternative<steering::refuse>(made);
+            if (is_refused && choice_.ends_dead_flows) {
+                lose_flow(index);
+                return;
+            }
+            schedule(subject.repeat_after, event_kind::repeat, index, subject.step);
+            subject.repeat_after *= 2;
+        }
+    }
+
+    void repeat(int index, int step) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        if (step != subject.step || !subject.is_waiting) {
+            return;
+        }
+        if (now_ - subject.asked >= budget) {
+            subject.has_flow = false;
+            give_up(index);
+            return;
+        }
+        send_data(index);
+    }
+
+    // The caller was told that its flow is over: it asks again when it waits for an answer.
+    void lose_flow(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        ++subject.step;
+        subject.has_flow = false;
+        if (std::exchange(subject.is_waiting, false)) {
+            schedule(network / 2, event_kind::opened, index);
+        }
+    }
+
+    void end_flows(steering::steering& core) {
+        for (const auto& each : core.take_resets()) {
+            const auto index = static_cast<int>(each.flow.caller.port / generations);
+            const auto& subject = callers_[static_cast<std::size_t>(index)];
+            if (choice_.ends_dead_flows && subject.has_flow && subject.last.flow == each.flow) {
+                lose_flow(index);
+            }
+        }
+    }
+
+    void give_up(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        ++subject.step;
+        subject.is_waiting = false;
+        ++failed_;
+        schedule(pause(), event_kind::ask, index);
+    }
+
     void arrive(int index) {
-        const auto number = callers_[static_cast<std::size_t>(index)].host;
+        const auto& subject = callers_[static_cast<std::size_t>(index)];
+        const auto number = subject.host;
         auto& at = hosts_[number];
+        if (at.is_dead || !subject.has_flow) {
+            return;
+        }
         if (at.running < pattern_.slots) {
             begin(number, index);
         } else if (at.waiting.size() < static_cast<std::size_t>(pattern_.queue)) {
@@ -275,12 +410,17 @@
         ++at.running;
         std::lognormal_distribution<double> work{
             std::log(pattern_.work_ms) - work_spread * work_spread / 2, work_spread};
-        const clock::duration took{1 + std::lround(work(random_) * at.factor)};
+        const bool is_long = callers_[static_cast<std::size_t>(index)].asks_long;
+        const double usual = work(random_) * at.factor;
+        const clock::duration took{1 + std::lround(is_long ? pattern_.long_work_ms : usual)};
         schedule(took, event_kind::done, static_cast<int>(number), index);
     }
 
     void finish(std::size_t number, int index) {
         auto& at = hosts_[number];
+        if (at.is_dead) {
+            return;
+        }
         --at.running;
         if (!at.waiting.empty()) {
             const int next = at.waiting.front();
@@ -288,12 +428,20 @@
             begin(number, next);
         }
         auto& subject = callers_[static_cast<std::size_t>(index)];
+        subject.last.sequence += request_size;
         subject.last.length = 0;
         subject.last.acknowledged += request_size;
+        subject.is_waiting = false;
+        ++subject.step;
         deliver(subject, subject.last);
-        const bool is_in_time = now_ - subject.asked <= pattern_.objective;
+        const auto objective = subject.asks_long ? pattern_.long_objective : pattern_.objective;
+        const bool is_in_time = now_ - subject.asked <= objective;
+        short_in_time_ += is_in_time && !subject.asks_long ? 1 : 0;
         ++(is_in_time ? in_time_ : late_);
         light_in_time_ += is_in_time && is_light(index) ? 1 : 0;
+        if (pattern_.has_flow_each) {
+            close(index);
+        }
         schedule(pause(), event_kind::ask, index);
     }
 
@@ -301,6 +449,8 @@
     void close(int index) {
         auto& subject = callers_[static_cast<std::size_t>(index)];
         subject.last.length = 0;
+        subject.is_waiting = false;
+        ++subject.step;
         subject.last.is_closing = true;
         deliver(subject, subject.last);
         subject.has_flow = false;
@@ -345,6 +495,8 @@
     int shed_ = 0;
     int light_asked_ = 0;
     int light_in_time_ = 0;
+    int short_asked_ = 0;
+    int short_in_time_ = 0;
 };
 
 }  // namespace
@@ -373,6 +525,20 @@
          .load = 3,
          .members = 9,
          .heavy_share = 1.0 / 9},
+        {.name = "steer_dead",
+         .plays = "a third of what they bear, and four targets of fourteen fall silent",
+         .load = 0.33,
+         .dead_share = 0.29},
+        {.name = "steer_dead_short_flows",
+         .plays = "the same, with a flow for each request",
+         .load = 0.33,
+         .dead_share = 0.29,
+         .has_flow_each = true},
+        {.name = "steer_long_among_short",
+         .plays =
+             "one caller of twenty asks for half a second of work, nine tenths of what they bear",
+         .load = 0.9,
+         .long_share = 0.05},
     };
 }
 
--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -23,20 +23,28 @@
     double work_ms = 22;  // mean, with a spread of one half
     clock::duration objective{120};
     clock::duration length{12'000};
-    int members = 1;         // firms, each with an address of its own
-    double heavy_share = 0;  // of all load comes from the first one; the others share the rest
+    int members = 1;             // firms, each with an address of its own
+    double heavy_share = 0;      // of all load comes from the first one; the others share the rest
+    double dead_share = 0;       // of the targets fall silent a third of the way into the run
+    bool has_flow_each = false;  // callers open a flow for each request
+    double long_share = 0;  // of the callers ask for long work, by a route with its own objective
+    double long_work_ms = 500;
+    clock::duration long_objective{2'000};
 };
 
 struct overload_choice {
     bool has_limit = true;      // steering::concurrency_limit
     bool shares_loads = true;   // digests of peers
     bool knows_callers = true;  // steering::caller_shares; else each flow has an address of its own
+    // Copies of openings go elsewhere and shun the target; else they are sent as first packets.
+    bool heeds_copies = true;
+    bool ends_dead_flows = true;  // else callers wait for their deadlines
 };
 
 std::vector<overload_pattern> all_overload_patterns();
 
 // "in time" is the share of requests answered within the objective, counted from the first try;
-// "light" counts those of all members but the first.
+// "light" counts those of all members but the first, "short" those that don't ask for long work.
 std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
                                   std::uint64_t seed);
 
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -68,6 +68,34 @@
     EXPECT_GT(with.at("in time"), 0.97 * without.at("in time"));
 }
 
+TEST(steering_overload, openings_avoid_targets_that_have_died) {
+    // Four targets of fourteen fall silent while their entries are still there, and callers open a
+    // flow for each request. Without a sign of it nearly three openings of ten would wait for their
+    // copies, for as long as the entries stay.
+    constexpr overload_choice without_copies{.heeds_copies = false};
+    const auto with = figures("steer_dead_short_flows", {});
+    const auto without = figures("steer_dead_short_flows", without_copies);
+    EXPECT_GT(with.at("in time"), 0.975);
+    EXPECT_GT(with.at("in time"), without.at("in time") + 0.015);
+}
+
+TEST(steering_overload, callers_of_targets_that_have_died_are_told) {
+    // The same with long flows: each caller of a dead target would lose a request to its deadline.
+    constexpr overload_choice without_ends{.ends_dead_flows = false};
+    const double with = figures("steer_dead", {}).at("failed");
+    const double without = figures("steer_dead", without_ends).at("failed");
+    EXPECT_GT(without, 0.006);
+    EXPECT_LT(with, 0.7 * without);
+}
+
+TEST(steering_overload, short_requests_are_served_among_long_ones) {
+    // One caller of twenty asks for half a second of work, and the targets are nearly full. Half of
+    // the slots are taken by long work at any time; the others must still answer in time.
+    const auto seen = figures("steer_long_among_short", {});
+    EXPECT_GT(seen.at("in time, short"), 0.94);
+    EXPECT_EQ(seen.at("failed"), 0);
+}
+
 TEST(steering_overload, members_that_ask_alike_get_alike) {
     const auto even = figures("steer_even_callers", {});
     EXPECT_NEAR(even.at("in time"), even.at("in time, light"), 0.01);
