Steering: Doubt the signs when more than half of a service is shunned

An instance whose own link loses openings shuns nearly all, fills the few others, and refuses callers while targets that live are idle. Change: while more than half of the candidates are shunned, these take what the others have no room for. Ruled out: a floor that ignores the sign altogether (the others are preferred still); one for a minority (a dead target would get flows whenever the others are full).

--- a/libraries/steering/placement.cpp
+++ b/libraries/steering/placement.cpp
@@ -14,6 +14,14 @@
 // target while their reports are a fraction of a second old (Mitzenmacher, 2001).
 constexpr std::size_t choices = 2;
 
+// Failure: this instance's own link loses packets, openings stay unanswered, and nearly all targets
+// are shunned though they live; the few others are soon full, and callers would be refused while
+// targets are idle. More than half of a service doesn't die within the seconds for which targets
+// are shunned, so beyond that the sign is doubted, and shunned targets take what the others can't.
+bool are_too_many_shunned(std::span<const candidate> candidates) {
+    return 2 * std::ranges::count_if(candidates, &candidate::is_shunned) > std::ssize(candidates);
+}
+
 struct ranked {
     std::uint64_t score = 0;
     std::size_t index = 0;
@@ -71,10 +79,16 @@
             return *found;
         }
     }
-    if (std::ranges::any_of(candidates, [](const candidate& each) { return !each.is_shunned; })) {
+    if (are_too_many_shunned(candidates)) {
+        constexpr group has_room = [](const candidate& each) { return each.has_room; };
+        if (const auto found = lighter_of_first(candidates, flow_hash, copy, has_room)) {
+            return *found;
+        }
+    }
+    if (!std::ranges::all_of(candidates, &candidate::is_shunned)) {
         return no_choice::saturated;
     }
-    // All are shunned: one of them may have come back, and nothing else is left to try.
+    // All are shunned and full: one of them may have come back, and nothing else is left to try.
     return *lighter_of_first(candidates, flow_hash, copy, [](const candidate&) { return true; });
 }
 
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -434,6 +434,27 @@
     EXPECT_EQ(chosen(1), 0U);
 }
 
+// Three of four targets left an opening unanswered, since this instance's link loses packets. The
+// fourth is full; callers were refused, though the three live and are idle.
+TEST_F(steering_placement, shunned_targets_take_what_the_others_cannot_when_most_are_shunned) {
+    add(true).has_room = false;
+    for (int i = 0; i < 3; ++i) {
+        add(true).is_shunned = true;
+    }
+    EXPECT_NE(chosen(1), 0U);
+    // While the fourth has room, it is preferred.
+    candidates_[0].has_room = true;
+    EXPECT_EQ(chosen(1), 0U);
+}
+
+TEST_F(steering_placement, a_minority_that_is_shunned_stays_so_though_the_others_are_full) {
+    // One of three has died; the others are full. A caller that is sent to it would wait in vain.
+    add(true).has_room = false;
+    add(true).has_room = false;
+    add(true).is_shunned = true;
+    EXPECT_EQ(std::get<no_choice>(choose(candidates_, 1, 0)), no_choice::saturated);
+}
+
 TEST_F(steering_placement, the_lighter_of_two_is_taken) {
     add(true).load = 3;
     add(true).load = 1;
