Steering: Admit flows by the room of all instances, shared by what callers ask

Cause: a flow that is open goes on sending and can't be refused, so admission in the first second of a rush decides the load of the whole rush. A contended target was shared by instance, so that a zone with one instance got a share where one with three got three.

Change: a target takes twice its slots, over all instances together; the service takes as much for all of its targets, and once that is used up each instance keeps the part of it that its callers ask for. Digests carry what callers ask of up to three services; loads told go from twelve to ten, so that a digest stays within 187 bytes. steering/concurrency_limit is gone.

The probe of a slow target each half second has none: its bound doesn't fall.

--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -1,6 +1,9 @@
 #include "fleet/peer_digests.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
 
 namespace bramleytrack::fleet {
 namespace {
@@ -10,6 +13,11 @@
 // Digests come each 300 ms from each peer; sums that are a sixth of that older change no choice.
 constexpr clock::duration summary_lifetime{50};
 
+// Services are few, so 32 bits tell them apart in a digest.
+std::int32_t short_hash_of(std::string_view service) {
+    return static_cast<std::int32_t>(hash_of(service));
+}
+
 }  // namespace
 
 peer_digests::peer_digests(const discovery::directory& known, std::string self, std::uint64_t seed,
@@ -81,13 +89,31 @@
     return result;
 }
 
-const std::unordered_map<steering::routing_token, peer_digests::told_load>& peer_digests::summary(
-    clock::time_point now) const {
-    if (now < summary_until_) {
+std::vector<wire::demand_report> peer_digests::demands_of(
+    const steering::demand_by_service& demands, clock::time_point now) const {
+    std::vector<wire::demand_report> result;
+    for (const auto& [service, demand] : demands) {
+        const auto asked = static_cast<std::int32_t>(std::lround(demand.recent(now)));
+        if (asked > 0) {
+            auto& report = result.emplace_back();
+            report.service_hash = short_hash_of(service);
+            report.asked = asked;
+        }
+    }
+    std::ranges::sort(result, std::greater{}, &wire::demand_report::asked);
+    if (result.size() > limits_.max_demands) {
+        result.resize(limits_.max_demands);
+    }
+    return result;
+}
+
+const peer_digests::summary& peer_digests::summarize(clock::time_point now) const {
+    if (now < summary_.until) {
         return summary_;
     }
-    summary_until_ = now + summary_lifetime;
-    summary_.clear();
+    summary_.until = now + summary_lifetime;
+    summary_.loads.clear();
+    summary_.demands.clear();
     std::size_t fresh = 0;
     for (const auto& [name, entry] : heard_) {
         if (!is_fresh(entry, now)) {
@@ -95,28 +121,40 @@
         }
         ++fresh;
         for (const auto& each : entry.content.loads) {
-            auto& told = summary_[static_cast<steering::routing_token>(each.token)];
+            auto& told = summary_.loads[static_cast<steering::routing_token>(each.token)];
             told.open += each.open_requests;
             told.is_silent = told.is_silent || each.is_silent;
         }
+        for (const auto& each : entry.content.demands) {
+            summary_.demands[each.service_hash] += each.asked;
+        }
     }
     // In a large fleet only some peers are heard at a time: they stand for the others.
     const auto peers = static_cast<double>(known_.peers().size()) - 1;
     const double weight = fresh == 0 ? 1.0 : std::max(1.0, peers / static_cast<double>(fresh));
-    for (auto& [token, told] : summary_) {
+    for (auto& [token, told] : summary_.loads) {
         told.open *= weight;
     }
+    for (auto& [service, asked] : summary_.demands) {
+        asked *= weight;
+    }
     return summary_;
 }
 
 double peer_digests::open_elsewhere(steering::routing_token token, clock::time_point now) const {
-    const auto& known = summary(now);
+    const auto& known = summarize(now).loads;
     const auto found = known.find(token);
     return found == known.end() ? 0 : found->second.open;
 }
 
+double peer_digests::wanted_elsewhere(std::string_view service, clock::time_point now) const {
+    const auto& known = summarize(now).demands;
+    const auto found = known.find(short_hash_of(service));
+    return found == known.end() ? 0 : found->second;
+}
+
 bool peer_digests::is_silent_elsewhere(steering::routing_token token, clock::time_point now) const {
-    const auto& known = summary(now);
+    const auto& known = summarize(now).loads;
     const auto found = known.find(token);
     return found != known.end() && found->second.is_silent;
 }
--- a/libraries/fleet/peer_digests.h
+++ b/libraries/fleet/peer_digests.h
@@ -26,7 +26,9 @@
     // ms they cost the sender 4.9 KB a second, and an instance has 5 for control at any size.
     std::size_t receivers = 8;
     // Loads in one digest; the most loaded first.
-    std::size_t max_loads = 12;
+    std::size_t max_loads = 10;
+    // Services in one digest; those that most is asked of first.
+    std::size_t max_demands = 3;
 };
 
 struct heard_digest {
@@ -59,7 +61,11 @@
     std::vector<wire::load_report> loads_of(const steering::flow_watch& flows,
                                             clock::time_point now) const;
 
+    std::vector<wire::demand_report> demands_of(const steering::demand_by_service& demands,
+                                                clock::time_point now) const;
+
     double open_elsewhere(steering::routing_token token, clock::time_point now) const override;
+    double wanted_elsewhere(std::string_view service, clock::time_point now) const override;
     bool is_silent_elsewhere(steering::routing_token token, clock::time_point now) const override;
 
 private:
@@ -68,10 +74,16 @@
         bool is_silent = false;
     };
 
-    // What fresh digests say of each target together. An opening looks up every target of a
-    // service, so the sums are kept for a moment instead of being made anew for each.
-    const std::unordered_map<steering::routing_token, told_load>& summary(
-        clock::time_point now) const;
+    // What fresh digests say together.
+    struct summary {
+        std::unordered_map<steering::routing_token, told_load> loads;
+        std::unordered_map<std::int32_t, double> demands;  // by the hash of the service's name
+        clock::time_point until;
+    };
+
+    // An opening looks up every target of a service, so the sums are kept for a moment instead of
+    // being made anew for each.
+    const summary& summarize(clock::time_point now) const;
 
     const discovery::directory& known_;
     std::string self_;
@@ -81,8 +93,7 @@
     clock::time_point heard_at_;
     clock::time_point store_missed_at_;
     std::vector<std::string> order_;  // receivers still to come in this round
-    mutable std::unordered_map<steering::routing_token, told_load> summary_;
-    mutable clock::time_point summary_until_;
+    mutable summary summary_;
 };
 
 }  // namespace bramleytrack::fleet
--- /dev/null
+++ b/libraries/steering/admission.h
@@ -0,0 +1,69 @@
+// Whether one more flow may be opened to a service, and to which of its targets.
+//
+// Load that it answers: more callers than the targets bear. A flow that is open goes on sending,
+// and its requests can't be refused, so what is let in decides the load of the next minute.
+// Without it the first second of a rush fills all queues with flows that stay: every answer is
+// late, while the targets are never idle.
+//
+// Two bounds, both on requests that are open through all instances together. Each target takes
+// twice its slots: slots stay busy while the next request is on its way, and the wait is about one
+// service time. The service takes as much for all its targets; once that is used up, each instance
+// still has the part of it that its callers ask for. Shares by what callers ask, not by instance:
+// otherwise a zone with three instances takes three times the room of a zone with one.
+//
+// The own count is exact and the peers' word is a fraction of a second old, so in the first moment
+// of a rush the own part alone decides.
+#pragma once
+
+namespace bramleytrack::steering {
+
+// Requests that are open on one target.
+struct target_use {
+    int slots = 1;
+    double here = 0;       // through this instance
+    double elsewhere = 0;  // through others, as far as they told
+};
+
+// What callers ask of a service lately: requests begun, and openings whatever became of them.
+struct service_wants {
+    double here = 0;
+    double elsewhere = 0;
+};
+
+// What the service's targets that may take flows are doing, as far as it counts for admission.
+class service_use {
+public:
+    service_use() = default;
+    explicit service_use(const service_wants& wants) : wants_{wants} {}
+
+    // Failure: slow targets collect requests of the flows that they have, and these alone would use
+    // up the service's room while its other targets are idle. So no target counts for more than it
+    // may take.
+    void add(const target_use& target);
+
+    double slots() const { return slots_; }
+    double open_here() const { return here_; }
+    double open_elsewhere() const { return elsewhere_; }
+    const service_wants& wants() const { return wants_; }
+    // Of all that callers ask for; one when nothing is known.
+    double own_part() const;
+
+private:
+    service_wants wants_;
+    double slots_ = 0;
+    double here_ = 0;
+    double elsewhere_ = 0;
+};
+
+// Open requests that a target may have before no more flows are placed there.
+constexpr double open_by_slot = 2;
+// Of the room, for routes that are less urgent than others of their service.
+constexpr double room_of_less_urgent = 0.88;
+// Of the room, for callers that have more than their share of it, see caller_shares.
+constexpr double room_of_heavy_callers = 0.75;
+
+// `share` of the room is the flow's to use. A target without any open request always has room.
+bool has_room(const target_use& target, double share);
+bool has_room(const service_use& service, double share);
+
+}  // namespace bramleytrack::steering
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -33,22 +33,21 @@
     return dropped != nullptr ? dropped->reason : result_code::ok;
 }
 
-void decision_log::opening(const segment& content, const belief& state,
-                           const discovery::route* route, const decision& made,
-                           std::size_t candidates, clock::time_point now) {
+void decision_log::opening(const opening_facts& facts, clock::time_point now) {
     if (!log_.admits(log_kind::opening, now)) {
         return;
     }
+    const auto& content = facts.content;
     auto event = flow_event("opening", content.flow);
     event.with("sequence", content.sequence)
         .with("copy", content.copy)
-        .with("decision", name_of_decision(made))
-        .with("reason", name_of(reason_of(made)))
-        .with("route", route == nullptr ? std::string{"none"} : route->name)
+        .with("decision", name_of_decision(facts.made))
+        .with("reason", name_of(reason_of(facts.made)))
+        .with("route", facts.route == nullptr ? std::string{"none"} : facts.route->name)
         .with("version", known_.in_force().version)
-        .with("confirmed_ms_ago", age_of(state.confirmed, now))
-        .with("candidates", static_cast<std::int64_t>(candidates));
-    if (const auto* chosen = std::get_if<forward>(&made)) {
+        .with("confirmed_ms_ago", age_of(facts.state.confirmed, now))
+        .with("candidates", static_cast<std::int64_t>(facts.candidates));
+    if (const auto* chosen = std::get_if<forward>(&facts.made)) {
         const auto& signs = flows_.signs(chosen->to->token);
         event.with("target", chosen->to->entry.id)
             .with("target_zone", chosen->to->entry.zone)
@@ -57,7 +56,12 @@
             .with("open_requests", signs.open_requests);
     } else {
         const bool is_heavy = flows_.callers().is_heavy(content.flow.caller.address);
-        event.with("caller_over_share", is_heavy ? "yes" : "no");
+        event.with("caller_over_share", is_heavy ? "yes" : "no")
+            .with("slots", std::llround(facts.use.slots()))
+            .with("open_here", std::llround(facts.use.open_here()))
+            .with("open_elsewhere", std::llround(facts.use.open_elsewhere()))
+            .with("wanted_here", std::llround(facts.use.wants().here))
+            .with("wanted_elsewhere", std::llround(facts.use.wants().elsewhere));
     }
     log_.write(event);
 }
--- a/libraries/steering/decision_log.h
+++ b/libraries/steering/decision_log.h
@@ -6,19 +6,28 @@
 
 #include "base/event_log.h"
 #include "discovery/directory.h"
+#include "steering/admission.h"
 #include "steering/decision.h"
 #include "steering/flow_watch.h"
 
 namespace bramleytrack::steering {
 
+// What an opening packet was decided by.
+struct opening_facts {
+    const segment& content;
+    const belief& state;
+    const discovery::route* route = nullptr;  // nothing when none is known
+    const decision& made;
+    std::size_t candidates = 0;  // targets that could have taken the flow
+    const service_use& use;
+};
+
 class decision_log {
 public:
     decision_log(event_log& log, const discovery::directory& known, const flow_watch& flows)
         : log_{log}, known_{known}, flows_{flows} {}
 
-    // `candidates` targets could have taken the flow.
-    void opening(const segment& content, const belief& state, const discovery::route* route,
-                 const decision& made, std::size_t candidates, clock::time_point now);
+    void opening(const opening_facts& facts, clock::time_point now);
     // A later packet that wasn't forwarded.
     void packet(const segment& content, const decision& made, clock::time_point now);
     // All flows of a target are ended, since it has died or can't be reached.
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -63,8 +63,7 @@
     begin_request(opening.flow, flow);
 }
 
-observation flow_watch::note_packet(const segment& content, clock::duration objective,
-                                    const capacity& target, clock::time_point now) {
+observation flow_watch::note_packet(const segment& content, clock::time_point now) {
     observation result;
     const bool is_end = content.is_reset || content.is_closing;
     auto* known = find_or_adopt(content, is_end, now);
@@ -84,7 +83,7 @@
     if (content.length > 0) {
         note_data(flow, content, result, now);
     } else if (!is_end) {
-        note_acknowledgement(flow, content, objective, target, result, now);
+        note_acknowledgement(flow, content, result, now);
     }
     if (is_after(content.acknowledged, flow.acknowledged)) {
         flow.acknowledged = content.acknowledged;
@@ -137,6 +136,8 @@
     if (flow.is_request_sent && !is_next) {
         return;
     }
+    // The opening counted as the request that follows it.
+    result.is_request_begun = !flow.has_open_request;
     begin_request(content.flow, flow);
     flow.is_request_sent = true;
     flow.request_at = now;
@@ -164,9 +165,8 @@
 
 // Callers acknowledge without data only when something of the target has just arrived. An
 // acknowledgement that comes with data is no such sign: the answer may have come long before.
-void flow_watch::note_acknowledgement(flow_state& flow, const segment& content,
-                                      clock::duration objective, const capacity& target,
-                                      observation& result, clock::time_point now) {
+void flow_watch::note_acknowledgement(flow_state& flow, const segment& content, observation& result,
+                                      clock::time_point now) {
     auto& signs = signs_[flow.token];
     note_life(signs, now);
     if (!flow.is_request_sent) {
@@ -175,9 +175,6 @@
     result.is_answer = true;
     result.answer_took = now - flow.request_at;
     path_.on_answer(flow.repeats > 0, now);
-    if (objective > clock::duration{0}) {
-        signs.limit.on_answer(result.answer_took, objective, signs.open_requests, target);
-    }
     const auto took = static_cast<double>(result.answer_took.count());
     signs.answer_ms += signs.answer_ms == 0 ? took : (took - signs.answer_ms) * answer_weight;
     end_request(content.flow, flow);
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -13,7 +13,6 @@
 
 #include "base/clock.h"
 #include "steering/caller_shares.h"
-#include "steering/concurrency_limit.h"
 #include "steering/path_health.h"
 #include "steering/segment.h"
 
@@ -25,7 +24,6 @@
     // Openings under way, and requests of which nothing was acknowledged. An opening counts as the
     // request that follows it, or flows that arrive together would all find the target idle.
     int open_requests = 0;
-    concurrency_limit limit;
     double answer_ms = 0;  // moving average from a request's first byte to its answer's
     int unanswered = 0;    // openings in a row without an answer
     // Flows whose data was sent a third time, since the last sign of life. A target that lives
@@ -56,6 +54,7 @@
 struct observation {
     bool is_answer_to_opening = false;  // the target took the flow
     clock::duration opening_took{0};
+    bool is_request_begun = false;
     bool is_answer = false;  // the target answered a request
     clock::duration answer_took{0};
     int repeats = 0;                // how often the caller has sent this data before
@@ -100,10 +99,7 @@
     // The target chosen for an earlier copy of this opening packet didn't answer.
     void note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
-    // `objective` is that of the flow's route, 0 when none is known; `target` tells what its target
-    // bears.
-    observation note_packet(const segment& content, clock::duration objective,
-                            const capacity& target, clock::time_point now);
+    observation note_packet(const segment& content, clock::time_point now);
     // The flow's caller was told that it is over.
     void forget(const flow_key& key);
     // Forgets the target's established flows and returns what their callers are to be told.
@@ -121,8 +117,8 @@
     void note_data(flow_state& flow, const segment& content, observation& result,
                    clock::time_point now);
     void note_repeat(flow_state& flow, observation& result, clock::time_point now);
-    void note_acknowledgement(flow_state& flow, const segment& content, clock::duration objective,
-                              const capacity& target, observation& result, clock::time_point now);
+    void note_acknowledgement(flow_state& flow, const segment& content, observation& result,
+                              clock::time_point now);
     void begin_request(const flow_key& key, flow_state& flow);
     void end_request(const flow_key& key, flow_state& flow);
     void release(const flow_key& key, flow_state& flow);
--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -20,7 +20,7 @@
     bool is_in_region = true;  // in this instance's region
     bool is_near = false;      // in this instance's zone
     bool is_shunned = false;   // left an opening unanswered not long ago
-    bool has_room = true;      // see concurrency_limit
+    bool has_room = true;      // see admission
     double load = 0;       // requests that are open on it, by slot, as far as all instances tell
     double answer_ms = 0;  // what its answers take, 0 when none is known; weighs its load
 };
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -63,13 +63,20 @@
 
 decision steering::on_opening(const segment& content, const belief& state, clock::time_point now) {
     const auto* route = known_.find_route(content.flow.route);
-    const auto finish = [&](const decision& made, std::size_t candidates) {
+    eligible_targets targets;
+    const auto finish = [&](const decision& made) {
         observer_.on_decision(service_of(route, made), made);
-        log_.opening(content, state, route, made, candidates, now);
+        log_.opening({.content = content,
+                      .state = state,
+                      .route = route,
+                      .made = made,
+                      .candidates = targets.candidates.size(),
+                      .use = targets.use},
+                     now);
         return made;
     };
     if (!state.is_complete) {
-        return finish(drop{result_code::not_ready}, 0);
+        return finish(drop{result_code::not_ready});
     }
     const bool is_fresh = now - state.confirmed <= limits_.refusal_age;
     if (route == nullptr) {
@@ -77,8 +84,7 @@
         // It stays silent then, and the copy of the packet may reach an instance that knows.
         return finish(is_fresh
                           ? decision{refuse{{.flow = content.flow}, result_code::unknown_route}}
-                          : decision{drop{result_code::unknown_route}},
-                      0);
+                          : decision{drop{result_code::unknown_route}});
     }
     flows_.note_asked(content.flow, now);
     if (content.copy > 0) {
@@ -87,17 +93,20 @@
     }
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
-    const auto targets =
-        pool == nullptr ? eligible_targets{} : eligible(*pool, *route, content.flow, now);
+    if (pool != nullptr && content.copy == 0) {
+        demands_[pool->description.name].on_asked(now);
+    }
+    if (pool != nullptr) {
+        targets = eligible(*pool, *route, content.flow, now);
+    }
     const auto choice = choose(targets.candidates, flow_hash, content.copy);
     if (const auto* none = std::get_if<no_choice>(&choice)) {
-        return finish(turn_away(content, *none, targets.is_any_cold, is_fresh),
-                      targets.candidates.size());
+        return finish(turn_away(content, *none, targets.is_any_cold, is_fresh));
     }
     const auto& target = *targets.candidates[std::get<std::size_t>(choice)].subject;
     cold_.note_opened(target, now);
     flows_.note_opening(content, target.token, now);
-    return finish(forward{&target}, targets.candidates.size());
+    return finish(forward{&target});
 }
 
 // A caller that can't be served in time learns so now: its wait would delay the others, and the
@@ -133,7 +142,10 @@
     }
     const auto* route = known_.find_route(content.flow.route);
     const auto objective = route == nullptr ? clock::duration{0} : route->latency_objective;
-    const auto seen = flows_.note_packet(content, objective, capacity_of(*target), now);
+    const auto seen = flows_.note_packet(content, now);
+    if (seen.is_request_begun) {
+        demands_[target->entry.service].on_asked(now);
+    }
     if (seen.is_answer_to_opening) {
         observer_.on_opening_answered(*target, seen.opening_took);
     }
@@ -225,8 +237,10 @@
     return nullptr;
 }
 
-capacity steering::capacity_of(const discovery::target& target) const {
-    return {.slots = target.entry.slots, .instances = static_cast<int>(known_.peers().size())};
+service_wants steering::wants_of(std::string_view service, clock::time_point now) const {
+    const auto found = demands_.find(service);
+    return {.here = found == demands_.end() ? 0 : found->second.recent(now),
+            .elsewhere = loads_.wanted_elsewhere(service, now)};
 }
 
 std::string_view steering::region_of(std::string_view zone) const {
@@ -242,19 +256,20 @@
 
 // When there isn't room for all, callers of a route that operators rank behind another one of the
 // service are turned away first, and so are callers that have more than their share already.
-double steering::share_of_limit(const discovery::pool& pool, const discovery::route& route,
-                                const flow_key& flow) const {
+double steering::share_of_room(const discovery::pool& pool, const discovery::route& route,
+                               const flow_key& flow) const {
     double share = 1;
-    share *= route.priority > pool.most_urgent ? concurrency_limit::yielding_share : 1;
-    share *= flows_.callers().is_heavy(flow.caller.address) ? concurrency_limit::yielding_share : 1;
+    share *= route.priority > pool.most_urgent ? room_of_less_urgent : 1;
+    share *= flows_.callers().is_heavy(flow.caller.address) ? room_of_heavy_callers : 1;
     return share;
 }
 
 steering::eligible_targets steering::eligible(const discovery::pool& pool,
                                               const discovery::route& route, const flow_key& flow,
                                               clock::time_point now) {
-    const double share = share_of_limit(pool, route, flow);
+    const double share = share_of_room(pool, route, flow);
     eligible_targets result;
+    result.use = service_use{wants_of(pool.description.name, now)};
     for (const auto* each : pool.targets) {
         if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
             !is_allowed(route, each->entry.zone)) {
@@ -268,20 +283,26 @@
             continue;
         }
         const auto& signs = flows_.signs(each->token);
-        const target_use use{.open = static_cast<double>(signs.open_requests),
-                             .elsewhere = loads_.open_elsewhere(each->token, now),
-                             .answer_ms = signs.answer_ms,
-                             .opened_at = signs.opened_at};
+        const target_use use{.slots = std::max(1, each->entry.slots),
+                             .here = static_cast<double>(signs.open_requests),
+                             .elsewhere = loads_.open_elsewhere(each->token, now)};
+        const bool is_shunned =
+            now < signs.shunned_until || loads_.is_silent_elsewhere(each->token, now);
+        if (!is_shunned) {
+            result.use.add(use);
+        }
         result.candidates.push_back(
             {.subject = each,
              .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
              .is_near = each->entry.zone == place_.zone,
-             .is_shunned =
-                 now < signs.shunned_until || loads_.is_silent_elsewhere(each->token, now),
-             .has_room = signs.limit.has_room(use, capacity_of(*each), share, now),
-             .load = (use.open + use.elsewhere + 1) / std::max(1, each->entry.slots),
+             .is_shunned = is_shunned,
+             .has_room = has_room(use, share),
+             .load = (use.here + use.elsewhere + 1) / use.slots,
              .answer_ms = signs.answer_ms});
     }
+    if (!has_room(result.use, share)) {
+        std::ranges::for_each(result.candidates, [](candidate& each) { each.has_room = false; });
+    }
     weigh_by_answer_time(result.candidates);
     return result;
 }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -16,12 +16,14 @@
 #include "base/event_log.h"
 #include "base/result_code.h"
 #include "discovery/directory.h"
+#include "steering/admission.h"
 #include "steering/cold_gate.h"
 #include "steering/decision.h"
 #include "steering/decision_log.h"
 #include "steering/flow_watch.h"
 #include "steering/placement.h"
 #include "steering/segment.h"
+#include "steering/service_demand.h"
 
 namespace bramleytrack::steering {
 
@@ -47,10 +49,14 @@
 
     // Requests open on the target through other instances.
     virtual double open_elsewhere(routing_token token, clock::time_point now) const = 0;
+    // What callers ask of the service through other instances.
+    virtual double wanted_elsewhere(std::string_view service, clock::time_point now) const = 0;
     // Whether another instance found it silent not long ago.
     virtual bool is_silent_elsewhere(routing_token token, clock::time_point now) const = 0;
 };
 
+using demand_by_service = std::map<std::string, service_demand, std::less<>>;
+
 // Told of what the packets show, for the histograms.
 class flow_observer {
 public:
@@ -76,12 +82,15 @@
     void expire(clock::time_point now);
 
     const flow_watch& flows() const { return flows_; }
+    // What callers ask of each service through this instance.
+    const demand_by_service& demands() const { return demands_; }
 
 private:
     decision on_opening(const segment& content, const belief& state, clock::time_point now);
-    // The targets that may take a flow now.
+    // The targets that may take a flow now, and what is asked of all together.
     struct eligible_targets {
         std::vector<candidate> candidates;
+        service_use use;
         bool is_any_cold = false;  // and barred for that reason alone
     };
 
@@ -95,19 +104,20 @@
                                         const discovery::route* route,
                                         const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
-    double share_of_limit(const discovery::pool& pool, const discovery::route& route,
-                          const flow_key& flow) const;
+    double share_of_room(const discovery::pool& pool, const discovery::route& route,
+                         const flow_key& flow) const;
     eligible_targets eligible(const discovery::pool& pool, const discovery::route& route,
                               const flow_key& flow, clock::time_point now);
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
-    capacity capacity_of(const discovery::target& target) const;
+    service_wants wants_of(std::string_view service, clock::time_point now) const;
 
     place place_;
     const discovery::directory& known_;
     cold_gate& cold_;
     const load_view& loads_;
     flow_watch flows_;
+    demand_by_service demands_;  // of services of the catalogue
     std::vector<reset> resets_;
     decision_log log_;
     flow_observer& observer_;
--- a/libraries/wire/bramleytrack.thrift
+++ b/libraries/wire/bramleytrack.thrift
@@ -178,13 +178,20 @@
   3: bool is_silent      // left openings unanswered, and gave no sign of life since
 }
 
+// How much callers ask of a service through the sender.
+struct demand_report {
+  1: i32 service_hash,
+  2: i32 asked             // requests and openings of about the last half second
+}
+
 // What an instance that routes by token tells its peers every few hundred milliseconds.
 struct digest {
   1: i64 known_revision,     // everything up to it is known
   2: i64 confirmed_ms_ago,   // age of the word that nothing newer was in the store; -1 is never
   3: bool has_lost_store,
   4: bool is_stopping,
-  5: list<load_report> loads // the most loaded and the silent ones
+  5: list<load_report> loads, // the most loaded and the silent ones
+  6: list<demand_report> demands // the largest
 }
 
 struct store_record {
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -147,13 +147,12 @@
         route.name = "feed";
         route.address = {.address = 1, .port = short_port};
         route.splits = {{.service = "board", .weight = 1}};
-        // Without an objective no answer is late, and the limit never falls.
-        route.latency_objective = choice_.has_limit ? pattern_.objective : clock::duration{0};
+        route.latency_objective = pattern_.objective;
         route.is_idempotent = true;
         text.routes = {route};
         route.name = "archive";
         route.address.port = long_port;
-        route.latency_objective = choice_.has_limit ? pattern_.long_objective : clock::duration{0};
+        route.latency_objective = pattern_.long_objective;
         text.routes.push_back(route);
         text.services = {{.name = "board"}};
         known_.apply(text, 1, false, epoch);
@@ -162,7 +161,9 @@
             entry.id = "i-" + std::to_string(i);
             entry.service = "board";
             entry.zone = "zone";
-            entry.slots = pattern_.slots;
+            // With so many slots no bound is ever reached.
+            constexpr int boundless = 1'000'000;
+            entry.slots = choice_.has_limit ? pattern_.slots : boundless;
             known_.apply(entry, i + 2, false, epoch);
             host_of_[discovery::token_of(entry.id)] = static_cast<std::size_t>(i);
         }
@@ -467,6 +468,8 @@
             wire::digest content;
             content.loads =
                 instances_[from].digests->loads_of(instances_[from].core->flows(), now_);
+            content.demands =
+                instances_[from].digests->demands_of(instances_[from].core->demands(), now_);
             for (std::size_t to = 0; to < instances_.size(); ++to) {
                 if (to != from) {
                     instances_[to].digests->on_digest(name_of(static_cast<int>(from)), content,
--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -33,7 +33,7 @@
 };
 
 struct overload_choice {
-    bool has_limit = true;      // steering::concurrency_limit
+    bool has_limit = true;      // steering::has_room
     bool shares_loads = true;   // digests of peers
     bool knows_callers = true;  // steering::caller_shares; else each flow has an address of its own
     // Copies of openings go elsewhere and shun the target; else they are sent as first packets.
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -67,7 +67,7 @@
     std::erase(seeds_, settings.advertised_pull_address);
 }
 
-void peer_exchange::tick(const digest_facts& facts, const steering::flow_watch& flows,
+void peer_exchange::tick(const digest_facts& facts, const steering::steering& core,
                          clock::time_point now) {
     const bool has_news = facts.known_revision > told_.known_revision;
     if (now < next_digest_ && !has_news) {
@@ -80,7 +80,8 @@
     content.confirmed_ms_ago = age_in_milliseconds(facts.confirmed, now);
     content.has_lost_store = facts.has_lost_store;
     content.is_stopping = facts.is_stopping;
-    content.loads = digests_.loads_of(flows, now);
+    content.loads = digests_.loads_of(core.flows(), now);
+    content.demands = digests_.demands_of(core.demands(), now);
     wire::peer_message message;
     message.sender = name_;
     message.incarnation = incarnation_;
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -51,7 +51,7 @@
     }
 
     // Sends a digest when one is due, or at once when the revision has risen.
-    void tick(const digest_facts& facts, const steering::flow_watch& flows, clock::time_point now);
+    void tick(const digest_facts& facts, const steering::steering& core, clock::time_point now);
     // Fetches from a peer unless a pull is under way.
     void fetch(const fleet::pull& from, clock::time_point now);
     // Asks a peer which keys have ended lately; `done` is called in any case.
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -199,7 +199,7 @@
                     .confirmed = confirmed_at_,
                     .has_lost_store = has_lost_store,
                     .is_stopping = stop_.is_begun()},
-                   steering_.flows(), now);
+                   steering_, now);
 }
 
 void steering_daemon::ask_what_ended() {
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -211,6 +211,28 @@
     EXPECT_DOUBLE_EQ(digests.open_elsewhere(11, start + clock::duration{1'300}), 0);
 }
 
+TEST(peer_digests, what_callers_of_peers_ask_for_adds_up_while_it_is_fresh) {
+    discovery::directory known;
+    for (const auto* name : {"p0", "p1", "p2"}) {
+        known.apply(
+            discovery::peer_entry{.name = name, .zone = "", .address = "", .pull_address = ""}, 1,
+            false, start);
+    }
+    peer_digests digests{known, "p0", 1};
+    steering::demand_by_service demands;
+    demands["board"].on_asked(start);
+    demands["board"].on_asked(start);
+    demands["plans"].on_asked(start);
+    wire::digest content;
+    content.demands = digests.demands_of(demands, start);
+    digests.on_digest("p1", content, start);
+    digests.on_digest("p2", content, start);
+    EXPECT_DOUBLE_EQ(digests.wanted_elsewhere("board", start), 4);
+    EXPECT_DOUBLE_EQ(digests.wanted_elsewhere("plans", start), 2);
+    EXPECT_DOUBLE_EQ(digests.wanted_elsewhere("alerts", start), 0);
+    EXPECT_DOUBLE_EQ(digests.wanted_elsewhere("board", start + clock::duration{1'300}), 0);
+}
+
 TEST(peer_digests, all_peers_are_told_in_turn) {
     discovery::directory known;
     constexpr int number = 20;
@@ -249,6 +271,14 @@
     message.sender = "front-port-louis-10";
     message.incarnation = to_milliseconds(start);
     wire::digest content = fleet_digest_of(digests, flows);
+    steering::demand_by_service demands;
+    for (const auto* service : {"board", "plans", "alerts", "archive", "readings"}) {
+        for (int i = 0; i < 20'000; ++i) {
+            demands[service].on_asked(start);
+        }
+    }
+    content.demands = digests.demands_of(demands, start);
+    EXPECT_EQ(content.demands.size(), 3U);
     message.__set_fleet_digest(content);
     wire::encoder encoder;
     const auto key = wire::derive_fleet_key("a passphrase of the fleet");
--- a/tests/steering_caller_shares_test.cpp
+++ b/tests/steering_caller_shares_test.cpp
@@ -95,8 +95,6 @@
         result.token = 5;
         return result;
     };
-    const steering::capacity target{.slots = 2, .instances = 1};
-    constexpr clock::duration objective{100};
     for (std::uint16_t port = 1; port <= 8; ++port) {
         auto opening = packet(port);
         opening.is_opening = true;
@@ -110,21 +108,21 @@
     EXPECT_TRUE(flows.callers().is_heavy(heavy));
     auto data = packet(1);
     data.length = 10;
-    flows.note_packet(data, objective, target, start);
+    flows.note_packet(data, start);
     auto answer = packet(1);
     answer.sequence = 10;
     answer.acknowledged = 10;
-    flows.note_packet(answer, objective, target, start);
+    flows.note_packet(answer, start);
     auto reset = packet(2);
     reset.is_reset = true;
-    flows.note_packet(reset, objective, target, start);
+    flows.note_packet(reset, start);
     auto closing = packet(3);
     closing.is_closing = true;
-    flows.note_packet(closing, objective, target, start);
+    flows.note_packet(closing, start);
     // Another target took the opening's copy, and the rest fall silent.
     auto moved = packet(4);
     moved.token = 6;
-    flows.note_packet(moved, objective, target, start);
+    flows.note_packet(moved, start);
     flows.expire(start + clock::duration{10'000});
     EXPECT_FALSE(flows.callers().is_heavy(heavy));
     EXPECT_EQ(flows.signs(5).open_requests, 0);
--- a/tests/steering_load_test.cpp
+++ b/tests/steering_load_test.cpp
@@ -7,7 +7,6 @@
 #include <deque>
 #include <random>
 
-#include "steering/concurrency_limit.h"
 #include "steering/flow_watch.h"
 #include "steering/path_health.h"
 #include "steering/placement.h"
@@ -18,14 +17,11 @@
 using discovery::target;
 using steering::candidate;
 using steering::choose;
-using steering::concurrency_limit;
 using steering::flow_watch;
 using steering::no_choice;
 using steering::segment;
 
 constexpr clock::time_point start = to_time_point(1'000'000);
-constexpr clock::duration objective{120};
-constexpr steering::capacity slots{.slots = 2, .instances = 4};
 
 segment opening(std::uint16_t port, std::uint32_t copy = 0) {
     segment result;
@@ -55,7 +51,7 @@
     EXPECT_GT(flows.signs(11).shunned_until, start + clock::duration{1'600});
     // A packet of another caller shows that it answers after all.
     flows.note_opening(opening(2), 11, start + clock::duration{300});
-    flows.note_packet(later(2, 11, 100, 500, 0), objective, slots, start + clock::duration{310});
+    flows.note_packet(later(2, 11, 100, 500, 0), start + clock::duration{310});
     EXPECT_EQ(flows.signs(11).shunned_until, clock::time_point{});
 }
 
@@ -63,7 +59,7 @@
     flow_watch flows;
     flows.note_opening(opening(1), 11, start);
     flows.note_opening(opening(2), 11, start + clock::duration{50});
-    flows.note_packet(later(2, 11, 100, 500, 0), objective, slots, start + clock::duration{60});
+    flows.note_packet(later(2, 11, 100, 500, 0), start + clock::duration{60});
     flows.note_unanswered(opening(1).flow, start + clock::duration{200});
     EXPECT_EQ(flows.signs(11).shunned_until, clock::time_point{});
 }
@@ -72,10 +68,9 @@
     flow_watch flows;
     flows.note_opening(opening(1), 11, start);
     EXPECT_EQ(flows.signs(11).open_requests, 1);
-    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start + clock::duration{2});
+    flows.note_packet(later(1, 11, 100, 500, 40), start + clock::duration{2});
     EXPECT_EQ(flows.signs(11).open_requests, 1);
-    const auto seen =
-        flows.note_packet(later(1, 11, 140, 900, 0), objective, slots, start + clock::duration{30});
+    const auto seen = flows.note_packet(later(1, 11, 140, 900, 0), start + clock::duration{30});
     EXPECT_TRUE(seen.is_answer);
     EXPECT_EQ(seen.answer_took, clock::duration{28});
     EXPECT_EQ(flows.signs(11).open_requests, 0);
@@ -85,9 +80,9 @@
     flow_watch flows;
     flows.note_opening(opening(1), 11, start);
     const auto data = later(1, 11, 100, 500, 40);
-    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 0);
-    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 1);
-    EXPECT_EQ(flows.note_packet(data, objective, slots, start).repeats, 2);
+    EXPECT_EQ(flows.note_packet(data, start).repeats, 0);
+    EXPECT_EQ(flows.note_packet(data, start).repeats, 1);
+    EXPECT_EQ(flows.note_packet(data, start).repeats, 2);
 }
 
 class silent_target : public ::testing::Test {
@@ -101,20 +96,18 @@
     void SetUp() override {
         for (std::uint16_t port = 1; port <= 2; ++port) {
             flows_.note_opening(opening(port), silent, start);
-            flows_.note_packet(later(port, silent, 100, 500, 40), objective, slots, start);
-            flows_.note_packet(later(port, silent, 100, 500, 40), objective, slots,
-                               start + second_copy);
+            flows_.note_packet(later(port, silent, 100, 500, 40), start);
+            flows_.note_packet(later(port, silent, 100, 500, 40), start + second_copy);
         }
         flows_.note_opening(opening(9), lively, start);
-        flows_.note_packet(later(9, lively, 100, 500, 40), objective, slots, start);
+        flows_.note_packet(later(9, lively, 100, 500, 40), start);
     }
     steering::observation send_third_copy(std::uint16_t port) {
-        return flows_.note_packet(later(port, silent, 100, 500, 40), objective, slots,
-                                  start + third_copy);
+        return flows_.note_packet(later(port, silent, 100, 500, 40), start + third_copy);
     }
     // The lively target answers its caller.
     void answer_another(clock::time_point now) {
-        flows_.note_packet(later(9, lively, 140, 900, 0), objective, slots, now);
+        flows_.note_packet(later(9, lively, 140, 900, 0), now);
     }
 };
 
@@ -137,7 +130,7 @@
 TEST_F(silent_target, is_not_told_from_an_own_link_that_loses_some) {
     // The same, but half of the packets get through: data that was sent again is answered after
     // all.
-    flows_.note_packet(later(9, lively, 100, 500, 40), objective, slots, start + second_copy);
+    flows_.note_packet(later(9, lively, 100, 500, 40), start + second_copy);
     answer_another(start + clock::duration{500});
     EXPECT_FALSE(send_third_copy(1).is_target_silent);
     EXPECT_FALSE(send_third_copy(2).is_target_silent);
@@ -149,15 +142,12 @@
 // later.
 TEST_F(silent_target, is_known_though_a_few_answers_of_others_took_long) {
     for (std::uint16_t port = 20; port < 50; ++port) {
-        flows_.note_packet(later(port, lively, 100, 500, 40), objective, slots,
-                           start + second_copy);
+        flows_.note_packet(later(port, lively, 100, 500, 40), start + second_copy);
         const bool is_slow = port < 22;
         if (is_slow) {
-            flows_.note_packet(later(port, lively, 100, 500, 40), objective, slots,
-                               start + clock::duration{400});
+            flows_.note_packet(later(port, lively, 100, 500, 40), start + clock::duration{400});
         }
-        flows_.note_packet(later(port, lively, 140, 900, 0), objective, slots,
-                           start + clock::duration{500});
+        flows_.note_packet(later(port, lively, 140, 900, 0), start + clock::duration{500});
     }
     EXPECT_FALSE(send_third_copy(1).is_target_silent);
     EXPECT_TRUE(send_third_copy(2).is_target_silent);
@@ -171,15 +161,14 @@
     const auto resumed = start + clock::duration{1'000};
     for (std::uint16_t port = 1; port <= 3; ++port) {
         flows.note_opening(opening(port), silent, start);
-        flows.note_packet(later(port, silent, 100, 500, 0), objective, slots, start);
+        flows.note_packet(later(port, silent, 100, 500, 0), start);
     }
-    flows.note_packet(later(9, lively, 100, 500, 40), objective, slots, start);
-    flows.note_packet(later(9, lively, 140, 900, 0), objective, slots, resumed);
+    flows.note_packet(later(9, lively, 100, 500, 40), start);
+    flows.note_packet(later(9, lively, 140, 900, 0), resumed);
     for (std::uint16_t port = 1; port <= 3; ++port) {
         for (int copy = 0; copy < 3; ++copy) {
             EXPECT_FALSE(
-                flows.note_packet(later(port, silent, 100, 500, 40), objective, slots, resumed)
-                    .is_target_silent);
+                flows.note_packet(later(port, silent, 100, 500, 40), resumed).is_target_silent);
         }
     }
 }
@@ -190,9 +179,9 @@
     for (std::uint16_t port = 3; port <= 6; ++port) {
         flows_.note_opening(opening(port), silent, start);
     }
-    flows_.note_packet(later(3, silent, 100, 500, 40), objective, slots, start);
-    flows_.note_packet(later(4, silent, 100, 777, 0), objective, slots, start);
-    flows_.note_packet(later(3, silent, 100, 500, 40), objective, slots, start + second_copy);
+    flows_.note_packet(later(3, silent, 100, 500, 40), start);
+    flows_.note_packet(later(4, silent, 100, 777, 0), start);
+    flows_.note_packet(later(3, silent, 100, 500, 40), start + second_copy);
     answer_another(start + clock::duration{500});
     EXPECT_FALSE(send_third_copy(1).is_target_dead);
     EXPECT_FALSE(send_third_copy(2).is_target_dead);
@@ -239,14 +228,13 @@
     constexpr clock::duration third{600};
     for (std::uint16_t port = 1; port <= 3; ++port) {
         flows.note_opening(opening(port), 11, start);
-        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), start);
     }
-    flows.note_packet(later(3, 11, 140, 900, 0), objective, slots, start + clock::duration{100});
+    flows.note_packet(later(3, 11, 140, 900, 0), start + clock::duration{100});
     for (int copy = 0; copy < 3; ++copy) {
         for (std::uint16_t port = 1; port <= 2; ++port) {
             EXPECT_FALSE(
-                flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start + third)
-                    .is_target_silent);
+                flows.note_packet(later(port, 11, 100, 500, 40), start + third).is_target_silent);
         }
     }
 }
@@ -255,9 +243,9 @@
     // The answer came seconds before; the target may have died since.
     flow_watch flows;
     flows.note_opening(opening(1), 11, start);
-    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start);
+    flows.note_packet(later(1, 11, 100, 500, 40), start);
     const auto much_later = start + clock::duration{3'000};
-    const auto seen = flows.note_packet(later(1, 11, 140, 900, 40), objective, slots, much_later);
+    const auto seen = flows.note_packet(later(1, 11, 140, 900, 40), much_later);
     EXPECT_FALSE(seen.is_answer);
     EXPECT_EQ(flows.signs(11).answered_at, start);
     EXPECT_EQ(flows.signs(11).open_requests, 1);
@@ -268,7 +256,7 @@
     // while a request is open. Counted on, it would keep the target full here for good.
     flow_watch flows;
     flows.note_opening(opening(1), 11, start);
-    flows.note_packet(later(1, 11, 100, 500, 40), objective, slots, start);
+    flows.note_packet(later(1, 11, 100, 500, 40), start);
     flows.expire(start + clock::duration{2'100});
     EXPECT_EQ(flows.signs(11).open_requests, 0);
 }
@@ -279,91 +267,11 @@
     flow_watch flows{limits};
     for (std::uint16_t port = 1; port < 1'000; ++port) {
         flows.note_opening(opening(port), 11, start);
-        flows.note_packet(later(port, 11, 100, 500, 40), objective, slots, start);
+        flows.note_packet(later(port, 11, 100, 500, 40), start);
     }
     EXPECT_EQ(flows.size(), 100U);
 }
 
-TEST(concurrency_limit, settles_where_one_answer_in_ten_is_late) {
-    // A target works on two requests at a time, 22 ms each; whatever is open beyond waits. Callers
-    // press without end.
-    concurrency_limit limit;
-    std::minstd_rand random{1};
-    std::lognormal_distribution<double> work{std::log(22.0 * 0.88), 0.5};
-    std::deque<double> ends;  // of the requests that are open, in milliseconds
-    constexpr steering::capacity alone{.slots = 2, .instances = 1};
-    std::vector<double> slot_free(2, 0.0);
-    double now = 0;
-    int late = 0;
-    int answered = 0;
-    for (int i = 0; i < 6'000; ++i) {
-        while (!limit.has_room({.open = static_cast<double>(ends.size()),
-                                .elsewhere = 0,
-                                .answer_ms = 40,
-                                .opened_at = start},
-                               alone, 1.0,
-                               start + clock::duration{static_cast<std::int64_t>(now)})) {
-            now += 1;
-            std::erase_if(ends, [now](double each) { return each <= now; });
-        }
-        auto& slot = *std::ranges::min_element(slot_free);
-        const double end = std::max(slot, now) + work(random);
-        slot = end;
-        ends.push_back(end);
-        const auto took = clock::duration{static_cast<std::int64_t>(end - now)};
-        limit.on_answer(took, objective, static_cast<int>(ends.size()), alone);
-        constexpr int warm_up = 500;
-        late += i > warm_up && took > objective ? 1 : 0;
-        answered += i > warm_up ? 1 : 0;
-    }
-    EXPECT_LT(late, answered / 5);
-    EXPECT_GT(late, 0);
-}
-
-concurrency_limit limit_after(int answers, clock::duration took) {
-    concurrency_limit limit;
-    for (int i = 0; i < answers; ++i) {
-        limit.on_answer(took, objective, 1, slots);
-    }
-    return limit;
-}
-
-TEST(concurrency_limit, a_slow_target_with_work_gets_a_flow_each_half_second_from_all_together) {
-    // All answers are late and the slots are busy. Each flow that is let in goes on sending
-    // requests, so each instance's own probe each half second would keep the queue full.
-    const auto limit = limit_after(100, clock::duration{900});
-    const steering::target_use use{.open = 0, .elsewhere = 5, .answer_ms = 900, .opened_at = start};
-    EXPECT_FALSE(limit.has_room(use, slots, 1.0, start + clock::duration{1'900}));
-    EXPECT_TRUE(limit.has_room(use, slots, 1.0, start + clock::duration{2'000}));
-}
-
-TEST(concurrency_limit, idle_slots_are_used_however_late_the_answers_are) {
-    // The work of a service takes longer than its objective: every answer is late, with no load at
-    // all. Refusing callers would help nobody.
-    const auto limit = limit_after(100, clock::duration{200});
-    const steering::target_use use{.open = 0, .elsewhere = 1, .answer_ms = 200, .opened_at = start};
-    EXPECT_FALSE(limit.has_room(use, slots, 1.0, start + clock::duration{300}));
-    EXPECT_TRUE(limit.has_room(use, slots, 1.0, start + clock::duration{400}));
-}
-
-TEST(concurrency_limit, a_less_urgent_route_is_turned_away_first) {
-    const auto limit = limit_after(100, clock::duration{30});
-    const steering::target_use use{.open = 4, .elsewhere = 0, .answer_ms = 30, .opened_at = start};
-    EXPECT_TRUE(limit.has_room(use, slots, 1.0, start));
-    EXPECT_FALSE(limit.has_room(use, slots, concurrency_limit::yielding_share, start));
-}
-
-TEST(concurrency_limit, recovers_when_answers_are_in_time_again) {
-    concurrency_limit limit;
-    for (int i = 0; i < 100; ++i) {
-        limit.on_answer(clock::duration{900}, objective, 1, slots);
-    }
-    for (int i = 0; i < 100; ++i) {
-        limit.on_answer(clock::duration{30}, objective, 1, slots);
-    }
-    EXPECT_GE(limit.value(slots), 2.0);
-}
-
 class steering_placement : public ::testing::Test {
 protected:
     std::deque<target> targets_;
