Steering, Bramleybench: Sum up refusals without a line, and replay a rush on uneven zones

Change: openings that are turned away without a line are summed up once a second by service, callers' zone, decision and reason (steering/turned_away), at most twenty lines; bramleyctl explain shows them. Comments that told how figures came about keep their purpose alone.

--- a/libraries/fleet/stop_plan.h
+++ b/libraries/fleet/stop_plan.h
@@ -3,8 +3,7 @@
 // The routers take it out of rotation within a second or so; what is under way arrives a little
 // longer. Failure: when fewer than half of a zone's instances are in rotation, the routers use all
 // of them again, also those that have ended, and their packets are lost. So an instance that sees
-// most of its zone leave forwards until its grace is nearly over: with two of three instances of a
-// zone removed a second apart, 0.2% of the requests weren't served instead of 0.7%.
+// most of its zone leave forwards until its grace is nearly over.
 #pragma once
 
 #include <algorithm>
--- a/libraries/observability/steering_metrics.cpp
+++ b/libraries/observability/steering_metrics.cpp
@@ -1,6 +1,7 @@
 #include "observability/steering_metrics.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -92,6 +93,21 @@
             .Name("bramleytrack_openings_total")
             .Help("what became of opening packets, and of later packets that weren't forwarded")
             .Register(registry);
+    prometheus::Family<prometheus::Gauge>& slots =
+        prometheus::BuildGauge()
+            .Name("bramleytrack_service_slots")
+            .Help("slots of the service's targets that take flows")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& open =
+        prometheus::BuildGauge()
+            .Name("bramleytrack_service_open_requests")
+            .Help("requests open on those targets, through this instance and through the others")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& wanted =
+        prometheus::BuildGauge()
+            .Name("bramleytrack_service_wanted")
+            .Help("requests and openings of about the last half second")
+            .Register(registry);
     // Looking a series up by its labels costs more than the packet itself.
     std::map<std::string, prometheus::Histogram*, std::less<>> openings_by_service;
     std::map<std::string, prometheus::Histogram*, std::less<>> answers_by_service;
@@ -128,8 +144,20 @@
         .Increment();
 }
 
-std::string steering_metrics::render(const steering_gauges& state) {
+std::string steering_metrics::render(const steering_gauges& state,
+                                     std::span<const service_gauges> services) {
     auto& self = *implementation_;
+    for (const auto& each : services) {
+        const auto set = [&each](prometheus::Family<prometheus::Gauge>& family, double value,
+                                 const std::string& through) {
+            family.Add({{"service", each.service}, {"through", through}}).Set(value);
+        };
+        self.slots.Add({{"service", each.service}}).Set(each.slots);
+        set(self.open, each.open_here, "this");
+        set(self.open, each.open_elsewhere, "others");
+        set(self.wanted, each.wanted_here, "this");
+        set(self.wanted, each.wanted_elsewhere, "others");
+    }
     return render_registry<steering_gauges>(self.registry, gauges, state);
 }
 
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -2,12 +2,23 @@
 #pragma once
 
 #include <memory>
+#include <span>
 #include <string>
 
 #include "steering/steering.h"
 
 namespace bramleytrack::observability {
 
+// How much callers ask of one service, see steering::admission.
+struct service_gauges {
+    std::string service;
+    double slots = 0;  // of its targets that take flows
+    double open_here = 0;
+    double open_elsewhere = 0;
+    double wanted_here = 0;
+    double wanted_elsewhere = 0;
+};
+
 // What is read off the state when the metrics are asked for.
 struct steering_gauges {
     std::int64_t catalogue_version = 0;
@@ -35,7 +46,7 @@
     void on_answer(const discovery::target& by, clock::duration took) override;
     void on_decision(std::string_view service, const steering::decision& made) override;
 
-    std::string render(const steering_gauges& state);
+    std::string render(const steering_gauges& state, std::span<const service_gauges> services);
 
 private:
     struct implementation;
--- a/libraries/steering/caller_shares.h
+++ b/libraries/steering/caller_shares.h
@@ -1,10 +1,8 @@
 // Which callers have more of the targets' work than their fair share.
 //
 // Load that it answers: one caller opens most of the flows while the targets have more to do than
-// they bear. Without it whoever asks most often gets nearly all room that becomes free, and the
-// others are refused: with nine callers of whom one asks for nine tenths of everything, at three
-// times what the targets bear, the other eight got 0.31 of their requests answered in time, and
-// 0.81 with it.
+// they bear. Without it whoever asks most often gets nearly all room that becomes free, and callers
+// that ask for little are refused.
 //
 // A caller is an address. What counts is its requests that are open now, as seen here: work on the
 // targets, whether it comes in many short flows or few long ones. The fabric spreads flows evenly,
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -34,10 +34,16 @@
 }
 
 void decision_log::opening(const opening_facts& facts, clock::time_point now) {
+    const auto& content = facts.content;
+    const bool is_forwarded = std::holds_alternative<forward>(facts.made);
+    const bool is_heavy = !is_forwarded && flows_.callers().is_heavy(content.flow.caller.address);
     if (!log_.admits(log_kind::opening, now)) {
+        if (!is_forwarded) {
+            left_out_.add(facts.service, name_of_decision(facts.made), reason_of(facts.made),
+                          is_heavy);
+        }
         return;
     }
-    const auto& content = facts.content;
     auto event = flow_event("opening", content.flow);
     event.with("sequence", content.sequence)
         .with("copy", content.copy)
@@ -55,7 +61,6 @@
             .with("target_age_ms", age_of(chosen->to->changed_at, now))
             .with("open_requests", signs.open_requests);
     } else {
-        const bool is_heavy = flows_.callers().is_heavy(content.flow.caller.address);
         event.with("caller_over_share", is_heavy ? "yes" : "no")
             .with("slots", std::llround(facts.use.slots()))
             .with("open_here", std::llround(facts.use.open_here()))
--- a/libraries/steering/decision_log.h
+++ b/libraries/steering/decision_log.h
@@ -4,11 +4,16 @@
 // Whoever looks for the cause of a failed request has only these lines, see docs/OPERATIONS.md.
 #pragma once
 
+#include <string>
+#include <string_view>
+#include <utility>
+
 #include "base/event_log.h"
 #include "discovery/directory.h"
 #include "steering/admission.h"
 #include "steering/decision.h"
 #include "steering/flow_watch.h"
+#include "steering/turned_away.h"
 
 namespace bramleytrack::steering {
 
@@ -16,6 +21,7 @@
 struct opening_facts {
     const segment& content;
     const belief& state;
+    std::string_view service;                 // "none" without a route
     const discovery::route* route = nullptr;  // nothing when none is known
     const decision& made;
     std::size_t candidates = 0;  // targets that could have taken the flow
@@ -24,10 +30,14 @@
 
 class decision_log {
 public:
-    decision_log(event_log& log, const discovery::directory& known, const flow_watch& flows)
-        : log_{log}, known_{known}, flows_{flows} {}
+    // `zone` is this instance's.
+    decision_log(event_log& log, const discovery::directory& known, const flow_watch& flows,
+                 std::string zone)
+        : log_{log}, known_{known}, flows_{flows}, zone_{std::move(zone)} {}
 
     void opening(const opening_facts& facts, clock::time_point now);
+    // Sums up the openings that were turned away and had no line, once a second.
+    void report(clock::time_point now) { left_out_.report(log_, zone_, now); }
     // A later packet that wasn't forwarded.
     void packet(const segment& content, const decision& made, clock::time_point now);
     // All flows of a target are ended, since it has died or can't be reached.
@@ -45,6 +55,8 @@
     event_log& log_;
     const discovery::directory& known_;
     const flow_watch& flows_;
+    std::string zone_;
+    turned_away left_out_;
 };
 
 }  // namespace bramleytrack::steering
--- a/libraries/steering/path_health.h
+++ b/libraries/steering/path_health.h
@@ -3,9 +3,8 @@
 // Failure: this instance's own link is full, and what it forwards is lost. Every target looks
 // silent from here, and flows of targets that live would be reset. It shows in the answers: none
 // come, or many come only to data that callers had to send again. A few such answers are no sign of
-// it, since a target that takes over 200 ms makes callers send again too: when four targets of
-// eighteen died, each instance saw such an answer at least every 1.4 s, and a rule that took any of
-// them for a loss left the flows of the dead targets to their deadlines.
+// it, since a target that takes over 200 ms makes callers send again too; a rule that took any of
+// them for a loss would leave the flows of dead targets to their deadlines.
 #pragma once
 
 #include "base/clock.h"
--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -34,10 +34,8 @@
 // `flow_hash` spreads flows evenly and lets two instances that know the same choose alike; `copy`
 // moves a copy of an opening packet on to another target than the one before.
 //
-// Targets of the instance's own zone come first: a packet to another zone takes 1.8 ms more, is
-// priced by the byte, and the flow breaks when the zones are cut off from each other. (When flows
-// were spilled by load alone, before the zone's own targets were full, 0.2% more of the requests
-// were not served over ten runs with faults.)
+// Targets of the instance's own zone come first: a packet to another zone takes longer, is priced by
+// the byte, and the flow breaks when the zones are cut off from each other.
 std::variant<std::size_t, no_choice> choose(std::span<const candidate> candidates,
                                             std::uint64_t flow_hash, std::uint32_t copy);
 
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -47,7 +47,7 @@
       known_{known},
       cold_{cold},
       loads_{loads},
-      log_{log, known, flows_},
+      log_{log, known, flows_, place_.zone},
       observer_{observer},
       limits_{limits} {}
 
@@ -59,15 +59,18 @@
 void steering::expire(clock::time_point now) {
     flows_.expire(now);
     cold_.expire(now);
+    log_.report(now);
 }
 
 decision steering::on_opening(const segment& content, const belief& state, clock::time_point now) {
     const auto* route = known_.find_route(content.flow.route);
     eligible_targets targets;
     const auto finish = [&](const decision& made) {
-        observer_.on_decision(service_of(route, made), made);
+        const auto service = service_of(route, made);
+        observer_.on_decision(service, made);
         log_.opening({.content = content,
                       .state = state,
+                      .service = service,
                       .route = route,
                       .made = made,
                       .candidates = targets.candidates.size(),
@@ -243,6 +246,32 @@
             .elsewhere = loads_.wanted_elsewhere(service, now)};
 }
 
+target_use steering::use_of(const discovery::target& target, clock::time_point now) const {
+    return {.slots = std::max(1, target.entry.slots),
+            .here = static_cast<double>(flows_.signs(target.token).open_requests),
+            .elsewhere = loads_.open_elsewhere(target.token, now)};
+}
+
+bool steering::is_shunned(const discovery::target& target, clock::time_point now) const {
+    return now < flows_.signs(target.token).shunned_until ||
+           loads_.is_silent_elsewhere(target.token, now);
+}
+
+service_use steering::use_of(std::string_view service, clock::time_point now) const {
+    service_use result{wants_of(service, now)};
+    const auto* pool = known_.find_pool(service);
+    if (pool == nullptr) {
+        return result;
+    }
+    for (const auto* each : pool->targets) {
+        const bool takes_flows = each->takes_flows(now) && !known_.is_zone_out(each->entry.zone);
+        if (takes_flows && !is_shunned(*each, now)) {
+            result.add(use_of(*each, now));
+        }
+    }
+    return result;
+}
+
 std::string_view steering::region_of(std::string_view zone) const {
     const auto found = place_.regions.find(zone);
     return found == place_.regions.end() ? std::string_view{} : std::string_view{found->second};
@@ -282,23 +311,19 @@
             result.is_any_cold = true;
             continue;
         }
-        const auto& signs = flows_.signs(each->token);
-        const target_use use{.slots = std::max(1, each->entry.slots),
-                             .here = static_cast<double>(signs.open_requests),
-                             .elsewhere = loads_.open_elsewhere(each->token, now)};
-        const bool is_shunned =
-            now < signs.shunned_until || loads_.is_silent_elsewhere(each->token, now);
-        if (!is_shunned) {
+        const auto use = use_of(*each, now);
+        const bool is_left_alone = is_shunned(*each, now);
+        if (!is_left_alone) {
             result.use.add(use);
         }
         result.candidates.push_back(
             {.subject = each,
              .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
              .is_near = each->entry.zone == place_.zone,
-             .is_shunned = is_shunned,
+             .is_shunned = is_left_alone,
              .has_room = has_room(use, share),
              .load = (use.here + use.elsewhere + 1) / use.slots,
-             .answer_ms = signs.answer_ms});
+             .answer_ms = flows_.signs(each->token).answer_ms});
     }
     if (!has_room(result.use, share)) {
         std::ranges::for_each(result.candidates, [](candidate& each) { each.has_room = false; });
--- /dev/null
+++ b/libraries/steering/turned_away.cpp
@@ -0,0 +1,34 @@
+#include "steering/turned_away.h"
+
+namespace bramleytrack::steering {
+
+void turned_away::add(std::string_view service, std::string_view decision, result_code reason,
+                      bool is_over_share) {
+    const std::tuple cause{std::string{service}, std::string{decision}, reason};
+    if (!counts_.contains(cause) && counts_.size() >= max_causes) {
+        return;
+    }
+    auto& sum = counts_[cause];
+    ++sum.openings;
+    sum.over_share += is_over_share ? 1 : 0;
+}
+
+void turned_away::report(event_log& log, std::string_view zone, clock::time_point now) {
+    if (counts_.empty() || now - reported_at_ < interval) {
+        return;
+    }
+    reported_at_ = now;
+    for (const auto& [cause, sum] : counts_) {
+        const auto& [service, decision, reason] = cause;
+        log.write(log_event{"turned_away"}
+                      .with("service", service)
+                      .with("zone", zone)
+                      .with("decision", decision)
+                      .with("reason", name_of(reason))
+                      .with("openings_without_line", sum.openings)
+                      .with("of_callers_over_share", sum.over_share));
+    }
+    counts_.clear();
+}
+
+}  // namespace bramleytrack::steering
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -131,6 +131,7 @@
     for (const auto& name : split(wanted.without)) {
         choice.has_limit = choice.has_limit && name != "open_request_limit";
         choice.shares_loads = choice.shares_loads && name != "shared_loads";
+        choice.shares_demands = choice.shares_demands && name != "shared_demands";
         choice.knows_callers = choice.knows_callers && name != "caller_shares";
         choice.heeds_copies = choice.heeds_copies && name != "opening_copies";
         choice.ends_dead_flows = choice.ends_dead_flows && name != "dead_flows";
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -3,12 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <memory>
 #include <queue>
 #include <random>
 
-#include "fleet/peer_digests.h"
-#include "steering/steering.h"
+#include "overload_fleet.h"
 
 namespace bramleytrack::experiments {
 namespace {
@@ -28,28 +26,9 @@
 constexpr double work_spread = 0.5;
 constexpr std::uint16_t request_size = 100;
 constexpr std::uint32_t generations = 16;
-constexpr std::uint16_t short_port = 443;
-constexpr std::uint16_t long_port = 444;
 constexpr std::uint32_t first_own_address = 1'000;
-
-class quiet_log final : public event_log {
-public:
-    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
-    void write(const log_event& /*event*/) override {}
-};
-
-class no_observer final : public steering::flow_observer {
-public:
-    void on_opening_answered(const discovery::target& /*by*/, clock::duration /*took*/) override {}
-    void on_answer(const discovery::target& /*by*/, clock::duration /*took*/) override {}
-    void on_decision(std::string_view /*service*/, const steering::decision& /*made*/) override {}
-};
-
-struct instance {
-    std::unique_ptr<fleet::peer_digests> digests;
-    std::unique_ptr<steering::cold_gate> cold;
-    std::unique_ptr<steering::steering> core;
-};
+// Rushes and deaths come when so much of the run is over.
+constexpr int third = 3;
 
 struct host {
     double factor = 1;
@@ -63,6 +42,7 @@
     std::size_t instance = 0;
     std::size_t host = 0;
     std::uint32_t member = 0;
+    std::size_t zone = 0;
     std::uint32_t generation = 0;  // of its flows
     std::uint32_t opening_copies = 0;
     bool asks_long = false;
@@ -88,9 +68,7 @@
 class overload_run {
 public:
     overload_run(const overload_pattern& pattern, const overload_choice& choice, std::uint64_t seed)
-        : pattern_{pattern}, choice_{choice}, random_{seed} {
-        build_directory();
-        build_instances();
+        : pattern_{pattern}, choice_{choice}, random_{seed}, fleet_{pattern, choice, epoch} {
         hosts_.resize(static_cast<std::size_t>(pattern.targets));
         const auto slow = std::lround(pattern.slow_share * pattern.targets);
         for (std::size_t i = 0; i < static_cast<std::size_t>(slow); ++i) {
@@ -106,9 +84,14 @@
             auto& made = callers_[static_cast<std::size_t>(i)];
             made.member = member_of(i);
             made.asks_long = i < std::lround(pattern.long_share * static_cast<double>(number));
-            schedule(pause(), event_kind::ask, i);
+            made.zone = static_cast<std::size_t>(i) % fleet_.zones();
+            const bool is_in_rush =
+                pattern.calm_load > 0 &&
+                i >= std::lround(pattern.calm_load / pattern.load * static_cast<double>(number));
+            schedule(is_in_rush ? pattern.length / third + pause() : pause(), event_kind::ask, i);
         }
-        constexpr int third = 3;
+        zone_asked_.resize(fleet_.zones());
+        zone_in_time_.resize(fleet_.zones());
         schedule(pattern.length / third, event_kind::die, 0);
         schedule(digest_interval, event_kind::digest, 0);
     }
@@ -136,64 +119,23 @@
             result.push_back({.name = "in time, short",
                               .value = static_cast<double>(short_in_time_) / short_asked_});
         }
+        if (fleet_.zones() > 1) {
+            double least = 1;
+            for (std::size_t i = 0; i < fleet_.zones(); ++i) {
+                least = std::min(least, static_cast<double>(zone_in_time_[i]) / zone_asked_[i]);
+            }
+            result.push_back({.name = "least in time, zone", .value = least});
+        }
         return result;
     }
 
 private:
-    void build_directory() {
-        discovery::catalogue text;
-        text.version = 1;
-        discovery::route route;
-        route.name = "feed";
-        route.address = {.address = 1, .port = short_port};
-        route.splits = {{.service = "board", .weight = 1}};
-        route.latency_objective = pattern_.objective;
-        route.is_idempotent = true;
-        text.routes = {route};
-        route.name = "archive";
-        route.address.port = long_port;
-        route.latency_objective = pattern_.long_objective;
-        text.routes.push_back(route);
-        text.services = {{.name = "board"}};
-        known_.apply(text, 1, false, epoch);
-        for (int i = 0; i < pattern_.targets; ++i) {
-            discovery::target_entry entry;
-            entry.id = "i-" + std::to_string(i);
-            entry.service = "board";
-            entry.zone = "zone";
-            // With so many slots no bound is ever reached.
-            constexpr int boundless = 1'000'000;
-            entry.slots = choice_.has_limit ? pattern_.slots : boundless;
-            known_.apply(entry, i + 2, false, epoch);
-            host_of_[discovery::token_of(entry.id)] = static_cast<std::size_t>(i);
-        }
-        for (int i = 0; i < pattern_.instances; ++i) {
-            known_.apply(
-                discovery::peer_entry{
-                    .name = name_of(i), .zone = "zone", .address = {}, .pull_address = {}},
-                i + 2, false, epoch);
-        }
-    }
-
-    void build_instances() {
-        for (int i = 0; i < pattern_.instances; ++i) {
-            auto& made = instances_.emplace_back();
-            made.digests = std::make_unique<fleet::peer_digests>(known_, name_of(i), 1);
-            made.cold = std::make_unique<steering::cold_gate>(name_of(i));
-            made.core = std::make_unique<steering::steering>(
-                steering::place{.zone = "zone", .regions = {}}, known_, *made.cold, *made.digests,
-                log_, observer_);
-        }
-    }
-
     std::uint32_t member_of(int caller) const {
         const auto heavy = std::lround(pattern_.heavy_share * static_cast<double>(callers_.size()));
         const bool is_light = pattern_.members > 1 && caller >= heavy;
         return is_light ? 1 + static_cast<std::uint32_t>(caller % (pattern_.members - 1)) : 0;
     }
 
-    static std::string name_of(int instance) { return "instance-" + std::to_string(instance); }
-
     clock::duration pause() {
         std::exponential_distribution<double> pick{1 / mean_pause_ms};
         return clock::duration{1 + std::lround(pick(random_))};
@@ -209,6 +151,7 @@
                 callers_[static_cast<std::size_t>(next.subject)].asked = now_;
                 callers_[static_cast<std::size_t>(next.subject)].tries = 0;
                 ++asked_;
+                ++zone_asked_[callers_[static_cast<std::size_t>(next.subject)].zone];
                 light_asked_ += is_light(next.subject) ? 1 : 0;
                 short_asked_ += callers_[static_cast<std::size_t>(next.subject)].asks_long ? 0 : 1;
                 ask(next.subject);
@@ -223,7 +166,7 @@
                 finish(static_cast<std::size_t>(next.subject), next.other);
                 break;
             case event_kind::digest:
-                exchange_digests();
+                fleet_.exchange_digests(now_);
                 schedule(digest_interval, event_kind::digest, 0);
                 break;
             case event_kind::copy_opening:
@@ -248,8 +191,8 @@
     bool is_light(int index) const { return callers_[static_cast<std::size_t>(index)].member > 0; }
 
     steering::decision deliver(const caller& by, const steering::segment& content) {
-        return instances_[by.instance].core->on_segment(
-            content, {.is_complete = true, .confirmed = now_}, now_);
+        return fleet_.core(by.instance)
+            .on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
     }
 
     void ask(int index) {
@@ -270,10 +213,12 @@
         subject.last.flow.caller = {
             .address = choice_.knows_callers ? subject.member : first_own_address + port,
             .port = static_cast<std::uint16_t>(port)};
-        subject.last.flow.route = {.address = 1,
-                                   .port = subject.asks_long ? long_port : short_port};
+        subject.last.flow.route = {
+            .address = 1,
+            .port = subject.asks_long ? overload_fleet::long_port : overload_fleet::short_port};
         subject.last.is_opening = true;
-        subject.instance = random_() % instances_.size();
+        const auto& near = fleet_.instances_of(subject.zone);
+        subject.instance = near[random_() % near.size()];
         send_opening(index, 0);
     }
 
@@ -288,7 +233,7 @@
             schedule(is_refused ? network : opening_copy, event_kind::opened, index);
             return;
         }
-        subject.host = host_of_.at(forwarded->to->token);
+        subject.host = fleet_.host_of(forwarded->to->token);
         if (hosts_[subject.host].is_dead) {
             subject.opening_copies = copy;
             const auto wait = copy == 0   ? opening_copy
@@ -335,7 +280,7 @@
     void send_data(int index) {
         auto& subject = callers_[static_cast<std::size_t>(index)];
         const auto made = deliver(subject, subject.last);
-        end_flows(*instances_[subject.instance].core);
+        end_flows(fleet_.core(subject.instance));
         if (hosts_[subject.host].is_dead && subject.has_flow) {
             const bool is_refused = std::holds_alternative<steering::refuse>(made);
             if (is_refused && choice_.ends_dead_flows) {
@@ -439,6 +384,7 @@
         const bool is_in_time = now_ - subject.asked <= objective;
         short_in_time_ += is_in_time && !subject.asks_long ? 1 : 0;
         ++(is_in_time ? in_time_ : late_);
+        zone_in_time_[subject.zone] += is_in_time ? 1 : 0;
         light_in_time_ += is_in_time && is_light(index) ? 1 : 0;
         if (pattern_.has_flow_each) {
             close(index);
@@ -457,40 +403,16 @@
         subject.has_flow = false;
     }
 
-    void exchange_digests() {
-        for (auto& each : instances_) {
-            each.core->expire(now_);
-        }
-        if (!choice_.shares_loads) {
-            return;
-        }
-        for (std::size_t from = 0; from < instances_.size(); ++from) {
-            wire::digest content;
-            content.loads =
-                instances_[from].digests->loads_of(instances_[from].core->flows(), now_);
-            content.demands =
-                instances_[from].digests->demands_of(instances_[from].core->demands(), now_);
-            for (std::size_t to = 0; to < instances_.size(); ++to) {
-                if (to != from) {
-                    instances_[to].digests->on_digest(name_of(static_cast<int>(from)), content,
-                                                      now_);
-                }
-            }
-        }
-    }
-
     overload_pattern pattern_;
     overload_choice choice_;
     std::mt19937_64 random_;
     clock::time_point now_ = epoch;
-    discovery::directory known_;
-    quiet_log log_;
-    no_observer observer_;
-    std::vector<instance> instances_;
+    overload_fleet fleet_;
     std::vector<host> hosts_;
     std::vector<caller> callers_;
-    std::map<discovery::routing_token, std::size_t> host_of_;
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::vector<int> zone_asked_;
+    std::vector<int> zone_in_time_;
     int asked_ = 0;
     int in_time_ = 0;
     int late_ = 0;
@@ -504,47 +426,6 @@
 
 }  // namespace
 
-std::vector<overload_pattern> all_overload_patterns() {
-    return {
-        {.name = "steer_usual", .plays = "a third of what the targets bear", .load = 0.33},
-        {.name = "steer_full", .plays = "nine tenths of what the targets bear", .load = 0.9},
-        {.name = "steer_2x", .plays = "twice what the targets bear", .load = 2},
-        {.name = "steer_5x", .plays = "five times what the targets bear", .load = 5},
-        {.name = "steer_slow",
-         .plays = "half of what they bear, and three targets of ten take five times as long",
-         .load = 0.5,
-         .slow_share = 0.3},
-        {.name = "steer_long_work",
-         .plays = "work that takes longer than its objective, half of what the targets bear",
-         .load = 0.5,
-         .work_ms = 150},
-        {.name = "steer_heavy_caller",
-         .plays = "three times what the targets bear, nine tenths of it from one of nine members",
-         .load = 3,
-         .members = 9,
-         .heavy_share = 0.9},
-        {.name = "steer_even_callers",
-         .plays = "three times what the targets bear, from nine members alike",
-         .load = 3,
-         .members = 9,
-         .heavy_share = 1.0 / 9},
-        {.name = "steer_dead",
-         .plays = "a third of what they bear, and four targets of fourteen fall silent",
-         .load = 0.33,
-         .dead_share = 0.29},
-        {.name = "steer_dead_short_flows",
-         .plays = "the same, with a flow for each request",
-         .load = 0.33,
-         .dead_share = 0.29,
-         .has_flow_each = true},
-        {.name = "steer_long_among_short",
-         .plays =
-             "one caller of twenty asks for half a second of work, nine tenths of what they bear",
-         .load = 0.9,
-         .long_share = 0.05},
-    };
-}
-
 std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
                                   std::uint64_t seed) {
     return overload_run{pattern, choice, seed}.run();
--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -30,11 +30,17 @@
     double long_share = 0;  // of the callers ask for long work, by a route with its own objective
     double long_work_ms = 500;
     clock::duration long_objective{2'000};
+    // Zones with so many instances each, asked alike; all in one zone when there are none. Targets
+    // are dealt out to zones in turn.
+    std::vector<int> instances_by_zone{};
+    // Until a third of the run is over, only callers that make up this load come; 0: all do.
+    double calm_load = 0;
 };
 
 struct overload_choice {
-    bool has_limit = true;      // steering::has_room
-    bool shares_loads = true;   // digests of peers
+    bool has_limit = true;       // steering::has_room
+    bool shares_loads = true;    // digests of peers
+    bool shares_demands = true;  // what callers ask of peers; else all room is each instance's own
     bool knows_callers = true;  // steering::caller_shares; else each flow has an address of its own
     // Copies of openings go elsewhere and shun the target; else they are sent as first packets.
     bool heeds_copies = true;
@@ -43,6 +49,7 @@
 
 std::vector<overload_pattern> all_overload_patterns();
 
+// "least in time, zone" is that of the callers of the zone that was served worst.
 // "in time" is the share of requests answered within the objective, counted from the first try;
 // "light" counts those of all members but the first, "short" those that don't ask for long work.
 std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
--- /dev/null
+++ b/services/bramleybench/overload_fleet.cpp
@@ -0,0 +1,110 @@
+#include "overload_fleet.h"
+
+namespace bramleytrack::experiments {
+namespace {
+
+// With so many slots no bound is ever reached.
+constexpr int boundless = 1'000'000;
+
+std::string zone_name(std::size_t zone) {
+    return "zone-" + std::to_string(zone);
+}
+
+std::string instance_name(std::size_t number) {
+    return "instance-" + std::to_string(number);
+}
+
+}  // namespace
+
+overload_fleet::overload_fleet(const overload_pattern& pattern, const overload_choice& choice,
+                               clock::time_point start)
+    : pattern_{pattern}, choice_{choice} {
+    auto counts = pattern.instances_by_zone;
+    if (counts.empty()) {
+        counts.push_back(pattern.instances);
+    }
+    instances_of_zone_.resize(counts.size());
+    add_routes(start);
+    add_targets(start);
+    for (std::size_t zone = 0; zone < counts.size(); ++zone) {
+        for (int i = 0; i < counts[zone]; ++i) {
+            add_instance(zone);
+        }
+    }
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        known_.apply(
+            discovery::peer_entry{
+                .name = instance_name(i), .zone = "", .address = {}, .pull_address = {}},
+            static_cast<std::int64_t>(i) + 2, false, start);
+    }
+}
+
+void overload_fleet::add_routes(clock::time_point start) {
+    discovery::catalogue text;
+    text.version = 1;
+    discovery::route route;
+    route.name = "feed";
+    route.address = {.address = 1, .port = short_port};
+    route.splits = {{.service = "board", .weight = 1}};
+    route.latency_objective = pattern_.objective;
+    route.is_idempotent = true;
+    text.routes = {route};
+    route.name = "archive";
+    route.address.port = long_port;
+    route.latency_objective = pattern_.long_objective;
+    text.routes.push_back(route);
+    text.services = {{.name = "board"}};
+    known_.apply(text, 1, false, start);
+}
+
+void overload_fleet::add_targets(clock::time_point start) {
+    for (int i = 0; i < pattern_.targets; ++i) {
+        const auto number = static_cast<std::size_t>(i);
+        discovery::target_entry entry;
+        entry.id = "i-" + std::to_string(i);
+        entry.service = "board";
+        entry.zone = zone_name(number % zones());
+        entry.slots = choice_.has_limit ? pattern_.slots : boundless;
+        known_.apply(entry, i + 2, false, start);
+        host_of_[discovery::token_of(entry.id)] = number;
+    }
+}
+
+void overload_fleet::add_instance(std::size_t zone) {
+    const auto name = instance_name(instances_.size());
+    instances_of_zone_[zone].push_back(instances_.size());
+    auto& made = instances_.emplace_back();
+    made.digests = std::make_unique<fleet::peer_digests>(known_, name, 1);
+    made.cold = std::make_unique<steering::cold_gate>(name);
+    made.core = std::make_unique<steering::steering>(
+        steering::place{.zone = zone_name(zone), .regions = {}}, known_, *made.cold, *made.digests,
+        log_, observer_);
+}
+
+wire::digest overload_fleet::digest_of(const instance& subject, clock::time_point now) const {
+    wire::digest result;
+    result.loads = subject.digests->loads_of(subject.core->flows(), now);
+    if (choice_.shares_demands) {
+        result.demands = subject.digests->demands_of(subject.core->demands(), now);
+    }
+    return result;
+}
+
+void overload_fleet::exchange_digests(clock::time_point now) {
+    for (auto& each : instances_) {
+        each.core->expire(now);
+    }
+    if (!choice_.shares_loads) {
+        return;
+    }
+    for (std::size_t from = 0; from < instances_.size(); ++from) {
+        const auto content = digest_of(instances_[from], now);
+        for (std::size_t to = 0; to < instances_.size(); ++to) {
+            if (to != from) {
+                instances_[to].digests->on_digest(instance_name(from), content, now);
+            }
+        }
+    }
+}
+
+}  // namespace bramleytrack::experiments
--- /dev/null
+++ b/services/bramleybench/overload_fleet.h
@@ -0,0 +1,75 @@
+// The instances of an overload run: real decisions, with what they know of each other.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "discovery/directory.h"
+#include "fleet/peer_digests.h"
+#include "overload_experiment.h"
+#include "steering/steering.h"
+
+namespace bramleytrack::experiments {
+
+class overload_fleet {
+public:
+    // Routes to the same service, with an objective each.
+    static constexpr std::uint16_t short_port = 443;
+    static constexpr std::uint16_t long_port = 444;
+
+    overload_fleet(const overload_pattern& pattern, const overload_choice& choice,
+                   clock::time_point start);
+
+    std::size_t zones() const { return instances_of_zone_.size(); }
+    std::span<const std::size_t> instances_of(std::size_t zone) const {
+        return instances_of_zone_[zone];
+    }
+    steering::steering& core(std::size_t number) { return *instances_[number].core; }
+    // The number of the target, from 0 on.
+    std::size_t host_of(steering::routing_token token) const { return host_of_.at(token); }
+    void exchange_digests(clock::time_point now);
+
+private:
+    class quiet_log final : public event_log {
+    public:
+        bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
+        void write(const log_event& /*event*/) override {}
+    };
+
+    class no_observer final : public steering::flow_observer {
+    public:
+        void on_opening_answered(const discovery::target& /*by*/,
+                                 clock::duration /*took*/) override {}
+        void on_answer(const discovery::target& /*by*/, clock::duration /*took*/) override {}
+        void on_decision(std::string_view /*service*/,
+                         const steering::decision& /*made*/) override {}
+    };
+
+    struct instance {
+        std::unique_ptr<fleet::peer_digests> digests;
+        std::unique_ptr<steering::cold_gate> cold;
+        std::unique_ptr<steering::steering> core;
+    };
+
+    void add_routes(clock::time_point start);
+    void add_targets(clock::time_point start);
+    void add_instance(std::size_t zone);
+    wire::digest digest_of(const instance& subject, clock::time_point now) const;
+
+    overload_pattern pattern_;
+    overload_choice choice_;
+    discovery::directory known_;
+    quiet_log log_;
+    no_observer observer_;
+    std::vector<instance> instances_;
+    std::vector<std::vector<std::size_t>> instances_of_zone_;  // into instances_
+    std::unordered_map<steering::routing_token, std::size_t> host_of_;
+};
+
+}  // namespace bramleytrack::experiments
--- a/services/bramleyctl/flow_story.cpp
+++ b/services/bramleyctl/flow_story.cpp
@@ -173,6 +173,14 @@
                     record.number("count").value_or(0);
             }
         }
+        for (const auto& record : records) {
+            if (record.event == "turned_away" && record.at >= from && record.at <= to) {
+                story_.gaps.push_back(record.instance + " turned away " +
+                                      field(record, "openings_without_line") + " openings of " +
+                                      field(record, "service") + " from " + field(record, "zone") +
+                                      " without a line: " + field(record, "reason"));
+            }
+        }
         for (const auto& [who, count] : left_out) {
             story_.gaps.push_back(who.first + " left out " + std::to_string(count) +
                                   " lines of kind " + who.second + " around that time");
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -360,6 +360,16 @@
 
 std::string steering_daemon::render_metrics() const {
     const auto now = clock::now();
+    std::vector<observability::service_gauges> services;
+    for (const auto& [service, demand] : steering_.demands()) {
+        const auto use = steering_.use_of(service, now);
+        services.push_back({.service = service,
+                            .slots = use.slots(),
+                            .open_here = use.open_here(),
+                            .open_elsewhere = use.open_elsewhere(),
+                            .wanted_here = use.wants().here,
+                            .wanted_elsewhere = use.wants().elsewhere});
+    }
     const bool is_confirmed = confirmed_at_ != clock::time_point{};
     return metrics_.render({.catalogue_version = directory_.in_force().version,
                             .known_revision = mirror_.revision(),
@@ -374,7 +384,8 @@
                             .rejected_peer_messages = exchange_.rejected(),
                             .dropped_sends = packets_.dropped_sends(),
                             .is_store_reachable = feed_.is_reachable(),
-                            .is_ready = is_ready_});
+                            .is_ready = is_ready_},
+                           services);
 }
 
 }  // namespace bramleytrack
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -4,6 +4,10 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <array>
+
+#include "observability/steering_metrics.h"
+
 namespace bramleytrack {
 namespace {
 
@@ -48,5 +52,24 @@
     EXPECT_THAT(text, Not(HasSubstr("member-" + std::to_string(observability::max_members))));
 }
 
+TEST(steering_metrics, tell_who_asks_a_service_for_how_much) {
+    // A service is asked for more than it bears. Operators see from one instance how full its
+    // targets are, and which part of the load comes through that instance.
+    observability::steering_metrics metrics;
+    const std::array services{observability::service_gauges{.service = "board",
+                                                            .slots = 56,
+                                                            .open_here = 20,
+                                                            .open_elsewhere = 92,
+                                                            .wanted_here = 300,
+                                                            .wanted_elsewhere = 900}};
+    const auto text = metrics.render({}, services);
+    EXPECT_THAT(text, HasSubstr("bramleytrack_service_slots{service=\"board\"} 56"));
+    EXPECT_THAT(
+        text,
+        HasSubstr("bramleytrack_service_open_requests{service=\"board\",through=\"others\"} 92"));
+    EXPECT_THAT(text,
+                HasSubstr("bramleytrack_service_wanted{service=\"board\",through=\"this\"} 300"));
+}
+
 }  // namespace
 }  // namespace bramleytrack
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -41,6 +41,18 @@
     EXPECT_GT(with, 1.25 * figures("steer_2x", without_limit).at("in time"));
 }
 
+TEST(steering_overload, a_zone_with_one_instance_gets_as_much_as_one_with_three) {
+    // Nine times as many callers come at once, alike from all zones. Each instance took what became
+    // free first, so the zone with three of them took most, and the callers of the one with a
+    // single instance were refused.
+    constexpr overload_choice by_instance{.shares_demands = false};
+    const auto with = figures("steer_rush_uneven_zones", {});
+    const auto without = figures("steer_rush_uneven_zones", by_instance);
+    EXPECT_LT(with.at("in time") - with.at("least in time, zone"), 0.05);
+    EXPECT_GT(with.at("least in time, zone"), without.at("least in time, zone"));
+    EXPECT_GT(with.at("in time"), 0.97 * without.at("in time"));
+}
+
 TEST(steering_overload, nobody_is_turned_away_on_an_ordinary_day) {
     const auto usual = figures("steer_usual", {});
     EXPECT_EQ(usual.at("failed"), 0);
