--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -34,8 +34,8 @@
 // `flow_hash` spreads flows evenly and lets two instances that know the same choose alike; `copy`
 // moves a copy of an opening packet on to another target than the one before.
 //
-// Targets of the instance's own zone come first: a packet to another zone takes longer, is priced by
-// the byte, and the flow breaks when the zones are cut off from each other.
+// Targets of the instance's own zone come first: a packet to another zone takes longer, is priced
+// by the byte, and the flow breaks when the zones are cut off from each other.
 std::variant<std::size_t, no_choice> choose(std::span<const candidate> candidates,
                                             std::uint64_t flow_hash, std::uint32_t copy);
 
