Steering: Take openings that waited in the own socket for what they are

(1) Each copy counted as a target that hadn't answered: targets were shunned though they lived, two targets took one flow, and 977 openings were refused in four seconds. (3) Shunned targets had no room in the service's bound, also when most were shunned and the signs are doubted.

Change: a copy within 100 ms of its opening goes to the same target and is no sign; an opening that no request has followed within 250 ms holds no slot; when most targets are shunned, their room counts.

--- a/libraries/steering/admission.cpp
+++ b/libraries/steering/admission.cpp
@@ -23,6 +23,12 @@
     elsewhere_ += target.elsewhere * counted;
 }
 
+void service_use::add(const service_use& others) {
+    slots_ += others.slots_;
+    here_ += others.here_;
+    elsewhere_ += others.elsewhere_;
+}
+
 double service_use::own_part() const {
     const double all = wants_.here + wants_.elsewhere;
     return all > 0 ? wants_.here / all : 1;
--- a/libraries/steering/admission.h
+++ b/libraries/steering/admission.h
@@ -41,6 +41,9 @@
     // may take.
     void add(const target_use& target);
 
+    // Other targets of the same service, which count after all.
+    void add(const service_use& others);
+
     double slots() const { return slots_; }
     double open_here() const { return here_; }
     double open_elsewhere() const { return elsewhere_; }
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -23,9 +23,19 @@
     return found == flows_.end() ? nullptr : &found->second;
 }
 
+std::optional<routing_token> flow_watch::just_opened_on(const segment& copy,
+                                                        clock::time_point now) const {
+    const auto* flow = find(copy.flow);
+    const bool is_same = flow != nullptr && !flow->is_established && flow->token != 0 &&
+                         flow->opening_sequence == copy.sequence;
+    const bool is_early = is_same && now - flow->opened_at < limits_.least_copy_interval;
+    return is_early ? std::optional{flow->token} : std::nullopt;
+}
+
 void flow_watch::note_unanswered(const flow_key& key, clock::time_point now) {
     const auto found = flows_.find(key);
-    if (found == flows_.end() || found->second.is_established) {
+    if (found == flows_.end() || found->second.is_established ||
+        now - found->second.opened_at < limits_.least_copy_interval) {
         return;
     }
     auto& signs = signs_[found->second.token];
@@ -61,6 +71,7 @@
     ++signs.flows;
     signs.opened_at = now;
     begin_request(opening.flow, flow);
+    openings_.emplace_back(opening.flow, now);
 }
 
 observation flow_watch::note_packet(const segment& content, clock::time_point now) {
@@ -203,7 +214,23 @@
     return result;
 }
 
+// Failure: all instances lost power, and while they start, openings wait in their sockets until
+// most callers have given up. Counted as requests, they fill the targets' room, and callers that
+// come now are refused by targets that are idle.
+void flow_watch::end_openings_without_request(clock::time_point now) {
+    while (!openings_.empty() && now - openings_.front().second >= limits_.request_follows) {
+        const auto& [key, opened_at] = openings_.front();
+        const auto found = flows_.find(key);
+        if (found != flows_.end() && !found->second.is_request_sent &&
+            found->second.opened_at <= opened_at) {
+            end_request(key, found->second);
+        }
+        openings_.pop_front();
+    }
+}
+
 void flow_watch::expire(clock::time_point now) {
+    end_openings_without_request(now);
     if (now < next_expiry_) {
         return;
     }
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -7,8 +7,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -75,6 +77,12 @@
     // Callers send a third copy 600 ms after the first packet. Copies that come closer together
     // have waited in this instance's socket while it stood still, and the target never had them.
     clock::duration least_silence{500};
+    // Callers send copies of an opening 200 ms after it and later. Copies that come sooner have
+    // waited in this instance's socket together with it, and say nothing about its target.
+    clock::duration least_copy_interval{100};
+    // A caller sends its request as soon as the target has answered the opening. When none has come
+    // by then, the opening holds no slot: its caller has given up, or its target is dead.
+    clock::duration request_follows{250};
     // An opening without an answer is forgotten then: callers give it up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
@@ -96,6 +104,9 @@
     void note_asked(const flow_key& key, clock::time_point now) {
         callers_.on_asked(key.caller.address, now);
     }
+    // The token of the target that got this very opening so short a time ago that the copy must
+    // have waited in this instance's socket; nothing otherwise.
+    std::optional<routing_token> just_opened_on(const segment& copy, clock::time_point now) const;
     // The target chosen for an earlier copy of this opening packet didn't answer.
     void note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
@@ -122,10 +133,13 @@
     void begin_request(const flow_key& key, flow_state& flow);
     void end_request(const flow_key& key, flow_state& flow);
     void release(const flow_key& key, flow_state& flow);
+    void end_openings_without_request(clock::time_point now);
     void note_life(target_signs& signs, clock::time_point now);
 
     flow_watch_limits limits_;
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
+    // Openings by age, the oldest first; those that led to a request meanwhile are still here.
+    std::deque<std::pair<flow_key, clock::time_point>> openings_;
     std::unordered_map<routing_token, target_signs> signs_;
     caller_shares callers_;
     path_health path_;
--- a/libraries/steering/placement.cpp
+++ b/libraries/steering/placement.cpp
@@ -14,14 +14,6 @@
 // target while their reports are a fraction of a second old (Mitzenmacher, 2001).
 constexpr std::size_t choices = 2;
 
-// Failure: this instance's own link loses packets, openings stay unanswered, and nearly all targets
-// are shunned though they live; the few others are soon full, and callers would be refused while
-// targets are idle. More than half of a service doesn't die within the seconds for which targets
-// are shunned, so beyond that the sign is doubted, and shunned targets take what the others can't.
-bool are_too_many_shunned(std::span<const candidate> candidates) {
-    return 2 * std::ranges::count_if(candidates, &candidate::is_shunned) > std::ssize(candidates);
-}
-
 struct ranked {
     std::uint64_t score = 0;
     std::size_t index = 0;
@@ -62,6 +54,10 @@
 
 }  // namespace
 
+bool are_too_many_shunned(std::span<const candidate> candidates) {
+    return 2 * std::ranges::count_if(candidates, &candidate::is_shunned) > std::ssize(candidates);
+}
+
 std::variant<std::size_t, no_choice> choose(std::span<const candidate> candidates,
                                             std::uint64_t flow_hash, std::uint32_t copy) {
     if (candidates.empty()) {
--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -25,6 +25,12 @@
     double answer_ms = 0;  // what its answers take, 0 when none is known; weighs its load
 };
 
+// Failure: this instance's own link loses packets, openings stay unanswered, and nearly all targets
+// are shunned though they live; the few others are soon full, and callers would be refused while
+// targets are idle. More than half of a service doesn't die within the seconds for which targets
+// are shunned, so beyond that the sign is doubted, and shunned targets take what the others can't.
+bool are_too_many_shunned(std::span<const candidate> candidates);
+
 // Why no target was chosen.
 enum class no_choice {
     no_target,  // there is none
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -90,6 +90,9 @@
                           : decision{drop{result_code::unknown_route}});
     }
     flows_.note_asked(content.flow, now);
+    if (const auto* same = just_opened_on(content, now)) {
+        return finish(forward{same});
+    }
     if (content.copy > 0) {
         log_.unanswered(content, now);
         flows_.note_unanswered(content.flow, now);
@@ -112,6 +115,19 @@
     return finish(forward{&target});
 }
 
+// Failure: while an instance starts or stands still, an opening and its copies wait in its socket,
+// and it reads them within a few milliseconds. The copies look like targets that haven't answered:
+// most of them are shunned, callers are refused though targets are idle, and two targets take one
+// flow. Such a copy is the same opening, and goes to the same target.
+const discovery::target* steering::just_opened_on(const segment& content,
+                                                  clock::time_point now) const {
+    const auto token = content.copy > 0 ? flows_.just_opened_on(content, now) : std::nullopt;
+    const auto* target = token.has_value() ? known_.find_target(*token) : nullptr;
+    const bool may_take_it = target != nullptr && target->takes_flows(now) &&
+                             !target->is_cold(now) && !known_.is_zone_out(target->entry.zone);
+    return may_take_it ? target : nullptr;
+}
+
 // A caller that can't be served in time learns so now: its wait would delay the others, and the
 // refusal is true, since nothing has run. A cold target may take the copy of the packet in 200 ms,
 // so when all that could serve are cold, silence is better; and so it is while a target may have
@@ -299,6 +315,7 @@
     const double share = share_of_room(pool, route, flow);
     eligible_targets result;
     result.use = service_use{wants_of(pool.description.name, now)};
+    service_use shunned;
     for (const auto* each : pool.targets) {
         if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
             !is_allowed(route, each->entry.zone)) {
@@ -313,9 +330,7 @@
         }
         const auto use = use_of(*each, now);
         const bool is_left_alone = is_shunned(*each, now);
-        if (!is_left_alone) {
-            result.use.add(use);
-        }
+        (is_left_alone ? shunned : result.use).add(use);
         result.candidates.push_back(
             {.subject = each,
              .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
@@ -325,6 +340,9 @@
              .load = (use.here + use.elsewhere + 1) / use.slots,
              .answer_ms = flows_.signs(each->token).answer_ms});
     }
+    if (are_too_many_shunned(result.candidates)) {
+        result.use.add(shunned);
+    }
     if (!has_room(result.use, share)) {
         std::ranges::for_each(result.candidates, [](candidate& each) { each.has_room = false; });
     }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -96,6 +96,7 @@
         bool is_any_cold = false;  // and barred for that reason alone
     };
 
+    const discovery::target* just_opened_on(const segment& content, clock::time_point now) const;
     static decision turn_away(const segment& content, no_choice reason, bool is_any_cold,
                               bool is_fresh);
     decision on_later_packet(const segment& content, const belief& state, clock::time_point now);
