--- a/libraries/steering/admission.h
+++ b/libraries/steering/admission.h
@@ -11,8 +11,8 @@
 // still has the part of it that its callers ask for. Shares by what callers ask, not by instance:
 // otherwise a zone with three instances takes three times the room of a zone with one.
 //
-// The own count is exact and the peers' word is a fraction of a second old, so in the first moment
-// of a rush the own part alone decides.
+// The own count is exact and the peers' word a fraction of a second old, so in the first moment of
+// a rush each instance lets in at most what was free by that word.
 #pragma once
 
 namespace bramleytrack::steering {
@@ -48,7 +48,7 @@
     double open_here() const { return here_; }
     double open_elsewhere() const { return elsewhere_; }
     const service_wants& wants() const { return wants_; }
-    // Of all that callers ask for; one when nothing is known.
+    // This instance's part of all that callers ask for, from 0 to 1; 1 when nothing is known.
     double own_part() const;
 
 private:
@@ -58,7 +58,8 @@
     double elsewhere_ = 0;
 };
 
-// Open requests that a target may have before no more flows are placed there.
+// Requests that may be open on a target for each of its slots before no more flows are placed
+// there.
 constexpr double open_by_slot = 2;
 // Of the room, for routes that are less urgent than others of their service.
 constexpr double room_of_less_urgent = 0.88;
--- a/libraries/steering/service_demand.h
+++ b/libraries/steering/service_demand.h
@@ -12,7 +12,8 @@
 
     // A caller began a request, or asked for a flow, whatever became of it.
     void on_asked(clock::time_point now);
-    // What was asked for within about `memory`; older asking counts for less and less.
+    // A number of requests and openings: those of about the last `memory`, older ones counting less
+    // and less.
     double recent(clock::time_point now) const;
 
 private:
