--- a/tests/steering_waiting_copies_test.cpp
+++ b/tests/steering_waiting_copies_test.cpp
@@ -123,7 +123,9 @@
     });
     ASSERT_GT(2 * shunned, targets);
     ASSERT_LT(shunned, targets);
-    for (std::uint16_t port = 100; port < 100 + 4 * targets; ++port) {
+    constexpr std::uint16_t first = 100;
+    constexpr std::uint16_t end = first + 4 * targets;
+    for (std::uint16_t port = first; port < end; ++port) {
         EXPECT_NE(target_of(open(port, 0, later)), nullptr) << port;
     }
 }
