Steering: Ask in one place whether a target may take flows

Cause: admission, the copies that waited in the socket and the metrics each checked by themselves that a target is there and its zone not out; a further condition would have had to be added three times. The comment on use_of(service) claimed that it is what admission decides by; it leaves out routes, cold starts and the doubt about shunned targets, and says so now.

--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -56,8 +56,8 @@
 struct observation {
     bool is_answer_to_opening = false;  // the target took the flow
     clock::duration opening_took{0};
-    bool is_request_begun = false;
-    bool is_answer = false;  // the target answered a request
+    bool is_request_begun = false;  // one that the flow's opening didn't count for
+    bool is_answer = false;         // the target answered a request
     clock::duration answer_took{0};
     int repeats = 0;                // how often the caller has sent this data before
     bool is_target_silent = false;  // see target_signs::silent_flows
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -123,8 +123,8 @@
                                                   clock::time_point now) const {
     const auto token = content.copy > 0 ? flows_.just_opened_on(content, now) : std::nullopt;
     const auto* target = token.has_value() ? known_.find_target(*token) : nullptr;
-    const bool may_take_it = target != nullptr && target->takes_flows(now) &&
-                             !target->is_cold(now) && !known_.is_zone_out(target->entry.zone);
+    const bool may_take_it =
+        target != nullptr && may_take_flows(*target, now) && !target->is_cold(now);
     return may_take_it ? target : nullptr;
 }
 
@@ -262,6 +262,10 @@
             .elsewhere = loads_.wanted_elsewhere(service, now)};
 }
 
+bool steering::may_take_flows(const discovery::target& target, clock::time_point now) const {
+    return target.takes_flows(now) && !known_.is_zone_out(target.entry.zone);
+}
+
 target_use steering::use_of(const discovery::target& target, clock::time_point now) const {
     return {.slots = std::max(1, target.entry.slots),
             .here = static_cast<double>(flows_.signs(target.token).open_requests),
@@ -280,8 +284,7 @@
         return result;
     }
     for (const auto* each : pool->targets) {
-        const bool takes_flows = each->takes_flows(now) && !known_.is_zone_out(each->entry.zone);
-        if (takes_flows && !is_shunned(*each, now)) {
+        if (may_take_flows(*each, now) && !is_shunned(*each, now)) {
             result.add(use_of(*each, now));
         }
     }
@@ -317,8 +320,7 @@
     result.use = service_use{wants_of(pool.description.name, now)};
     service_use shunned;
     for (const auto* each : pool.targets) {
-        if (!each->takes_flows(now) || known_.is_zone_out(each->entry.zone) ||
-            !is_allowed(route, each->entry.zone)) {
+        if (!may_take_flows(*each, now) || !is_allowed(route, each->entry.zone)) {
             continue;
         }
         const bool is_barred =
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -84,7 +84,8 @@
     const flow_watch& flows() const { return flows_; }
     // What callers ask of each service through this instance.
     const demand_by_service& demands() const { return demands_; }
-    // What admission to the service would be decided by now.
+    // What is asked of the service and its targets, for the metrics. Admission of one flow leaves
+    // out what its route or a cold start bars, and may count shunned targets.
     service_use use_of(std::string_view service, clock::time_point now) const;
 
 private:
@@ -113,6 +114,8 @@
                               const flow_key& flow, clock::time_point now);
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
+    // It is there, and operators haven't taken its zone out.
+    bool may_take_flows(const discovery::target& target, clock::time_point now) const;
     target_use use_of(const discovery::target& target, clock::time_point now) const;
     bool is_shunned(const discovery::target& target, clock::time_point now) const;
     service_wants wants_of(std::string_view service, clock::time_point now) const;
