Fleet: Find out together whether a target has died, and tell the zone

Cause: 195 instances share 1,800 flows of 293 targets, so an instance has one flow of a target or none.

Change: the first packet that a caller repeats makes the instance connect to the target; when that isn't answered within 60 ms, three peers of the zone try, and with two that fail and none that succeeds the target is dead: its flows here are ended. The verdict spreads with digests within the zone, three times by each, for three seconds at most. What peers say never ends a flow: it starts the same check here, and keeps new flows away until the target is reached, shows life or writes to the store. Digests go to six peers of the own zone and two others; one stands for those of its own zone, and a report of one target for two others at most.

Tests: fleet_target_inquiry.*, steering_target_death.*, peer_digests.most_receivers_are_of_the_own_zone_..., peer_digests.a_digest_stands_for_..., golden silent_elsewhere: its flows are ended at the first repetition now, through both instances; before, at the second and at one.

--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -13,6 +13,11 @@
 // Digests come each 300 ms from each peer; sums that are a sixth of that older change no choice.
 constexpr clock::duration summary_lifetime{50};
 
+// Failure: two peers of another zone are heard and stand for forty, and a target with one request
+// of theirs looks full. Few of the requests of one target go through any one instance, so what one
+// tells of it says little of the others.
+constexpr double max_load_weight = 2;
+
 // Services are few, so 32 bits tell them apart in a digest.
 std::int32_t short_hash_of(std::string_view service) {
     return static_cast<std::int32_t>(hash_of(service));
@@ -20,10 +25,11 @@
 
 }  // namespace
 
-peer_digests::peer_digests(const discovery::directory& known, std::string self, std::uint64_t seed,
-                           digest_limits limits)
+peer_digests::peer_digests(const discovery::directory& known, std::string self, std::string zone,
+                           std::uint64_t seed, digest_limits limits)
     : known_{known},
       self_{std::move(self)},
+      zone_{std::move(zone)},
       limits_{limits},
       random_{static_cast<std::minstd_rand::result_type>(seed)} {}
 
@@ -47,42 +53,49 @@
 
 std::vector<const discovery::peer_entry*> peer_digests::next_receivers() {
     std::vector<const discovery::peer_entry*> result;
-    if (order_.empty()) {
-        for (const auto& [name, peer] : known_.peers()) {
-            if (name != self_) {
-                order_.push_back(name);
+    const auto near = limits_.receivers - std::min(limits_.receivers, limits_.receivers_elsewhere);
+    add_receivers(near_round_, true, near, result);
+    add_receivers(far_round_, false, limits_.receivers - result.size(), result);
+    // A fleet of one zone.
+    add_receivers(near_round_, true, limits_.receivers - result.size(), result);
+    return result;
+}
+
+void peer_digests::add_receivers(std::vector<std::string>& round, bool is_near, std::size_t most,
+                                 std::vector<const discovery::peer_entry*>& to) {
+    const auto is_in_group = [this, is_near](const auto& each) {
+        return each.first != self_ && (each.second.entry.zone == zone_) == is_near;
+    };
+    if (round.empty()) {
+        for (const auto& each : known_.peers()) {
+            if (is_in_group(each)) {
+                round.push_back(each.first);
             }
         }
-        std::ranges::shuffle(order_, random_);
+        std::ranges::shuffle(round, random_);
     }
-    while (!order_.empty() && result.size() < limits_.receivers) {
-        const auto found = known_.peers().find(order_.back());
-        order_.pop_back();
-        if (found != known_.peers().end()) {
-            result.push_back(&found->second.entry);
+    for (std::size_t added = 0; added < most && !round.empty(); round.pop_back()) {
+        const auto found = known_.peers().find(round.back());
+        const bool is_told = found == known_.peers().end() ||
+                             std::ranges::find(to, &found->second.entry) != to.end();
+        if (!is_told) {
+            to.push_back(&found->second.entry);
+            ++added;
         }
     }
-    return result;
 }
 
-std::vector<wire::load_report> peer_digests::loads_of(const steering::flow_watch& flows,
-                                                      clock::time_point now) const {
+std::vector<wire::load_report> peer_digests::loads_of(const steering::flow_watch& flows) const {
     std::vector<wire::load_report> result;
     for (const auto& [token, signs] : flows.all_signs()) {
-        const bool is_silent = now < signs.shunned_until;
-        if (!is_silent && signs.open_requests <= 0) {
+        if (signs.open_requests <= 0) {
             continue;
         }
         auto& report = result.emplace_back();
         report.token = static_cast<std::int32_t>(token);
         report.open_requests = signs.open_requests;
-        report.is_silent = is_silent;
     }
-    const auto is_heavier = [](const wire::load_report& left, const wire::load_report& right) {
-        return left.is_silent != right.is_silent ? left.is_silent
-                                                 : left.open_requests > right.open_requests;
-    };
-    std::ranges::sort(result, is_heavier);
+    std::ranges::sort(result, std::greater{}, &wire::load_report::open_requests);
     if (result.size() > limits_.max_loads) {
         result.resize(limits_.max_loads);
     }
@@ -114,37 +127,57 @@
     summary_.until = now + summary_lifetime;
     summary_.loads.clear();
     summary_.demands.clear();
-    std::size_t fresh = 0;
+    // In a large fleet only some peers are heard at a time: they stand for the others of their
+    // zone.
+    const auto weights = weights_by_zone(now);
     for (const auto& [name, entry] : heard_) {
         if (!is_fresh(entry, now)) {
             continue;
         }
-        ++fresh;
+        const auto zone = zone_of(name);
+        const double weight = weights.at(zone);
+        const double load_weight = std::min(weight, max_load_weight);
         for (const auto& each : entry.content.loads) {
-            auto& told = summary_.loads[static_cast<steering::routing_token>(each.token)];
-            told.open += each.open_requests;
-            told.is_silent = told.is_silent || each.is_silent;
+            summary_.loads[static_cast<steering::routing_token>(each.token)] +=
+                each.open_requests * load_weight;
         }
         for (const auto& each : entry.content.demands) {
-            summary_.demands[each.service_hash] += each.asked;
+            summary_.demands[each.service_hash] += each.asked * weight;
+        }
+    }
+    return summary_;
+}
+
+std::string_view peer_digests::zone_of(std::string_view peer) const {
+    const auto found = known_.peers().find(peer);
+    return found == known_.peers().end() ? std::string_view{} : found->second.entry.zone;
+}
+
+std::map<std::string_view, double> peer_digests::weights_by_zone(clock::time_point now) const {
+    std::map<std::string_view, double> fresh;
+    for (const auto& [name, entry] : heard_) {
+        if (is_fresh(entry, now)) {
+            ++fresh[zone_of(name)];
         }
     }
-    // In a large fleet only some peers are heard at a time: they stand for the others.
-    const auto peers = static_cast<double>(known_.peers().size()) - 1;
-    const double weight = fresh == 0 ? 1.0 : std::max(1.0, peers / static_cast<double>(fresh));
-    for (auto& [token, told] : summary_.loads) {
-        told.open *= weight;
+    std::map<std::string_view, double> weights;
+    for (const auto& [name, peer] : known_.peers()) {
+        if (name != self_) {
+            ++weights[peer.entry.zone];
+        }
     }
-    for (auto& [service, asked] : summary_.demands) {
-        asked *= weight;
+    for (auto& [zone, weight] : weights) {
+        const auto found = fresh.find(zone);
+        weight = found == fresh.end() ? 1 : std::max(1.0, weight / found->second);
     }
-    return summary_;
+    weights.try_emplace(std::string_view{}, 1);  // those that aren't known yet
+    return weights;
 }
 
 double peer_digests::open_elsewhere(steering::routing_token token, clock::time_point now) const {
     const auto& known = summarize(now).loads;
     const auto found = known.find(token);
-    return found == known.end() ? 0 : found->second.open;
+    return found == known.end() ? 0 : found->second;
 }
 
 double peer_digests::wanted_elsewhere(std::string_view service, clock::time_point now) const {
@@ -153,10 +186,4 @@
     return found == known.end() ? 0 : found->second;
 }
 
-bool peer_digests::is_silent_elsewhere(steering::routing_token token, clock::time_point now) const {
-    const auto& known = summarize(now).loads;
-    const auto found = known.find(token);
-    return found != known.end() && found->second.is_silent;
-}
-
 }  // namespace bramleytrack::fleet
--- a/libraries/fleet/peer_digests.h
+++ b/libraries/fleet/peer_digests.h
@@ -25,6 +25,10 @@
     // Receivers at a time: eight are all peers of today's fleets. With at most 185 bytes each 300
     // ms they cost the sender 4.9 KB a second, and an instance has 5 for control at any size.
     std::size_t receivers = 8;
+    // Of these, in other availability zones, as long as the own zone has enough peers for the rest.
+    // Callers' flows and their targets are of one zone as a rule, so what one instance sees helps
+    // those of its zone most; news of the store needs two ways out of it.
+    std::size_t receivers_elsewhere = 2;
     // Loads in one digest; the most loaded first.
     std::size_t max_loads = 10;
     // Services in one digest; those that most is asked of first.
@@ -39,8 +43,9 @@
 
 class peer_digests final : public steering::load_view {
 public:
-    peer_digests(const discovery::directory& known, std::string self, std::uint64_t seed,
-                 digest_limits limits = {});
+    // `zone` is this instance's.
+    peer_digests(const discovery::directory& known, std::string self, std::string zone,
+                 std::uint64_t seed, digest_limits limits = {});
 
     void on_digest(std::string_view sender, wire::digest content, clock::time_point now);
     void expire(clock::time_point now);
@@ -54,45 +59,48 @@
     // When a peer last said that the store didn't answer it.
     clock::time_point store_missed_at() const { return store_missed_at_; }
 
-    // Whom the next digest goes to: peers in a random order, all of them before one comes again.
+    // Whom the next digest goes to: peers of the own zone and of others, each group in a random
+    // order, all of it before one comes again.
     std::vector<const discovery::peer_entry*> next_receivers();
 
     // The loads to tell: what this instance's packets show.
-    std::vector<wire::load_report> loads_of(const steering::flow_watch& flows,
-                                            clock::time_point now) const;
+    std::vector<wire::load_report> loads_of(const steering::flow_watch& flows) const;
 
     std::vector<wire::demand_report> demands_of(const steering::demand_by_service& demands,
                                                 clock::time_point now) const;
 
     double open_elsewhere(steering::routing_token token, clock::time_point now) const override;
     double wanted_elsewhere(std::string_view service, clock::time_point now) const override;
-    bool is_silent_elsewhere(steering::routing_token token, clock::time_point now) const override;
 
 private:
-    struct told_load {
-        double open = 0;
-        bool is_silent = false;
-    };
-
     // What fresh digests say together.
     struct summary {
-        std::unordered_map<steering::routing_token, told_load> loads;
+        std::unordered_map<steering::routing_token, double> loads;
         std::unordered_map<std::int32_t, double> demands;  // by the hash of the service's name
         clock::time_point until;
     };
 
-    // An opening looks up every target of a service, so the sums are kept for a moment instead of
+    // An opening looks up many targets of a service, so the sums are kept for a moment instead of
     // being made anew for each.
     const summary& summarize(clock::time_point now) const;
+    // For how many instances a fresh digest from each zone stands.
+    std::map<std::string_view, double> weights_by_zone(clock::time_point now) const;
+    std::string_view zone_of(std::string_view peer) const;
+    // Takes up to `most` receivers from those that are still to come in a round of the group.
+    void add_receivers(std::vector<std::string>& round, bool is_near, std::size_t most,
+                       std::vector<const discovery::peer_entry*>& to);
 
     const discovery::directory& known_;
     std::string self_;
+    std::string zone_;
     digest_limits limits_;
     std::minstd_rand random_;
     std::map<std::string, heard_digest, std::less<>> heard_;  // by the sender's name
     clock::time_point heard_at_;
     clock::time_point store_missed_at_;
-    std::vector<std::string> order_;  // receivers still to come in this round
+    // Receivers still to come in this round.
+    std::vector<std::string> near_round_;
+    std::vector<std::string> far_round_;
     mutable summary summary_;
 };
 
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -32,20 +32,22 @@
     return is_early ? std::optional{flow->token} : std::nullopt;
 }
 
-void flow_watch::note_unanswered(const flow_key& key, clock::time_point now) {
+std::optional<routing_token> flow_watch::note_unanswered(const flow_key& key,
+                                                         clock::time_point now) {
     const auto found = flows_.find(key);
     if (found == flows_.end() || found->second.is_established ||
         now - found->second.opened_at < limits_.least_copy_interval) {
-        return;
+        return std::nullopt;
     }
     auto& signs = signs_[found->second.token];
     // A target that answered others meanwhile lost one packet, no more.
     if (signs.answered_at > found->second.opened_at) {
-        return;
+        return std::nullopt;
     }
     const int doublings = std::min(signs.unanswered, max_shun_doublings);
     ++signs.unanswered;
     signs.shunned_until = now + std::min(limits_.longest_shun, limits_.shun_for * (1 << doublings));
+    return found->second.token;
 }
 
 void flow_watch::note_opening(const segment& opening, routing_token token, clock::time_point now) {
@@ -159,8 +161,10 @@
     ++flow.repeats;
     result.repeats = flow.repeats;
     const bool has_shown_life = signs.answered_at > flow.request_at;
-    const bool has_waited = now - flow.request_at >= limits_.least_silence;
-    if (flow.repeats < repeats_of_silence || has_shown_life || !has_waited) {
+    const auto waited = now - flow.request_at;
+    result.is_target_suspect = !has_shown_life && waited >= limits_.least_copy_interval;
+    result.is_target_dead = result.is_target_suspect && now < signs.dead_until;
+    if (flow.repeats < repeats_of_silence || has_shown_life || waited < limits_.least_silence) {
         return;
     }
     signs.silent_flows += flow.counts_as_silent ? 0 : 1;
@@ -168,7 +172,8 @@
     result.is_target_silent =
         signs.silent_flows >= limits_.least_silent_flows && path_.is_sound(now);
     result.is_target_dead =
-        result.is_target_silent && signs.silent_flows >= limits_.least_silent_flows_of_dead;
+        result.is_target_dead ||
+        (result.is_target_silent && signs.silent_flows >= limits_.least_silent_flows_of_dead);
     if (result.is_target_silent) {
         signs.shunned_until = std::max(signs.shunned_until, now + limits_.shun_for);
     }
@@ -251,7 +256,9 @@
     }
     callers_.expire(now);
     std::erase_if(signs_, [this, now](const auto& each) {
-        return each.second.flows == 0 && now - each.second.opened_at > limits_.idle_lifetime;
+        const auto& signs = each.second;
+        const bool is_doubted = now < std::max(signs.said_dead_until, signs.dead_until);
+        return signs.flows == 0 && !is_doubted && now - signs.opened_at > limits_.idle_lifetime;
     });
 }
 
@@ -285,7 +292,17 @@
     end_request(key, flow);
 }
 
+void flow_watch::note_reached(routing_token token) {
+    const auto found = signs_.find(token);
+    if (found != signs_.end()) {
+        found->second.said_dead_until = {};
+        found->second.dead_until = {};
+    }
+}
+
 void flow_watch::note_life(target_signs& signs, clock::time_point now) {
+    signs.said_dead_until = {};
+    signs.dead_until = {};
     signs.unanswered = 0;
     signs.silent_flows = 0;
     signs.shunned_until = {};
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -33,8 +33,10 @@
     // reaches it; one flow alone may have lost both copies on the way.
     int silent_flows = 0;
     clock::time_point shunned_until;
-    clock::time_point answered_at;  // last sign of life
-    clock::time_point opened_at;    // last opening that was placed on it
+    clock::time_point said_dead_until;  // by peers: gets no new flows
+    clock::time_point dead_until;       // found out here: its flows are ended
+    clock::time_point answered_at;      // last sign of life
+    clock::time_point opened_at;        // last opening that was placed on it
 };
 
 struct flow_state {
@@ -59,7 +61,9 @@
     bool is_request_begun = false;  // one that the flow's opening didn't count for
     bool is_answer = false;         // the target answered a request
     clock::duration answer_took{0};
-    int repeats = 0;                // how often the caller has sent this data before
+    int repeats = 0;  // how often the caller has sent this data before
+    // The caller repeats its data, and nothing shows that the target has had it.
+    bool is_target_suspect = false;
     bool is_target_silent = false;  // see target_signs::silent_flows
     // So many flows found it silent that all of its flows are lost, also those that ask for nothing
     // now.
@@ -77,7 +81,7 @@
     // Callers send a third copy 600 ms after the first packet. Copies that come closer together
     // have waited in this instance's socket while it stood still, and the target never had them.
     clock::duration least_silence{500};
-    // Callers send copies of an opening 200 ms after it and later. Copies that come sooner have
+    // Callers send copies of anything 200 ms after it and later. Copies that come sooner have
     // waited in this instance's socket together with it, and say nothing about its target.
     clock::duration least_copy_interval{100};
     // A caller sends its request as soon as the target has answered the opening. When none has come
@@ -107,14 +111,24 @@
     // The token of the target that got this very opening so short a time ago that the copy must
     // have waited in this instance's socket; nothing otherwise.
     std::optional<routing_token> just_opened_on(const segment& copy, clock::time_point now) const;
-    // The target chosen for an earlier copy of this opening packet didn't answer.
-    void note_unanswered(const flow_key& key, clock::time_point now);
+    // The target chosen for an earlier copy of this opening packet didn't answer. Returns its token
+    // unless it answered others meanwhile, or nothing is known of the flow.
+    std::optional<routing_token> note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
     observation note_packet(const segment& content, clock::time_point now);
     // The flow's caller was told that it is over.
     void forget(const flow_key& key);
     // Forgets the target's established flows and returns what their callers are to be told.
     std::vector<reset> end_flows_of(routing_token token);
+    // The target was found dead, until it shows life again or that moment.
+    void note_dead(routing_token token, clock::time_point until) {
+        signs_[token].dead_until = until;
+    }
+    void note_said_dead(routing_token token, clock::time_point until) {
+        signs_[token].said_dead_until = until;
+    }
+    // It was reached by other means than a caller's packet.
+    void note_reached(routing_token token);
     void expire(clock::time_point now);
 
     const target_signs& signs(routing_token token) const;
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -95,7 +95,9 @@
     }
     if (content.copy > 0) {
         log_.unanswered(content, now);
-        flows_.note_unanswered(content.flow, now);
+        if (const auto token = flows_.note_unanswered(content.flow, now)) {
+            suspects_.push_back(*token);
+        }
     }
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
@@ -172,6 +174,9 @@
         observer_.on_answer(*target, seen.answer_took);
         log_.answer(content, *target, objective, seen.answer_took, now);
     }
+    if (seen.is_target_suspect) {
+        suspects_.push_back(target->token);
+    }
     if (seen.is_target_dead) {
         end_flows_of(*target, now);
         return finish(refuse{{.flow = content.flow, .sequence = content.acknowledged},
@@ -188,7 +193,8 @@
 // itself, by a request that waits for its deadline; what may not be repeated is then lost. Told at
 // once, a caller that asks for nothing now opens another flow for its next request, and one that
 // waits has its final answer. Each reset would break the flow of a target that lives, so three
-// flows must have found it silent while this instance's path to others was sound.
+// flows must have found it silent while this instance's path to others was sound, or it couldn't be
+// reached from several instances.
 void steering::end_flows_of(const discovery::target& target, clock::time_point now) {
     const auto signs = flows_.signs(target.token);
     auto ended = flows_.end_flows_of(target.token);
@@ -201,6 +207,19 @@
     std::ranges::move(ended, std::back_inserter(resets_));
 }
 
+void steering::on_target_dead(const discovery::target& target, clock::time_point probed_at,
+                              clock::time_point now) {
+    if (flows_.signs(target.token).answered_at >= probed_at) {
+        return;
+    }
+    flows_.note_dead(target.token, now + limits_.death_lifetime);
+    end_flows_of(target, now);
+}
+
+void steering::on_target_said_dead(const discovery::target& target, clock::time_point until) {
+    flows_.note_said_dead(target.token, until);
+}
+
 // Failure: a route is dropped and comes back. An instance that hasn't heard of its return resets a
 // flow that was opened through another one. So only flows that were seen here before the drop are
 // ended, and only on word that is fresh.
@@ -273,8 +292,8 @@
 }
 
 bool steering::is_shunned(const discovery::target& target, clock::time_point now) const {
-    return now < flows_.signs(target.token).shunned_until ||
-           loads_.is_silent_elsewhere(target.token, now);
+    const auto& signs = flows_.signs(target.token);
+    return now < std::max({signs.shunned_until, signs.said_dead_until, signs.dead_until});
 }
 
 service_use steering::use_of(std::string_view service, clock::time_point now) const {
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -28,6 +28,9 @@
 namespace bramleytrack::steering {
 
 struct steering_limits {
+    // A target that was found dead is taken for dead so long, unless it shows life. Dead targets
+    // leave the list after some two seconds.
+    clock::duration death_lifetime{3'000};
     // A route that isn't known may have been added since: callers are refused only on word that is
     // younger than the bound for a change of the configuration.
     clock::duration refusal_age{3'000};
@@ -51,8 +54,6 @@
     virtual double open_elsewhere(routing_token token, clock::time_point now) const = 0;
     // What callers ask of the service through other instances.
     virtual double wanted_elsewhere(std::string_view service, clock::time_point now) const = 0;
-    // Whether another instance found it silent not long ago.
-    virtual bool is_silent_elsewhere(routing_token token, clock::time_point now) const = 0;
 };
 
 using demand_by_service = std::map<std::string, service_demand, std::less<>>;
@@ -79,6 +80,15 @@
     // Resets of other flows than those of the packets that brought them about, for the daemon to
     // send.
     std::vector<reset> take_resets() { return std::exchange(resets_, {}); }
+    // Targets that left something unanswered since this was last asked, for the daemon to check.
+    std::vector<routing_token> take_suspects() { return std::exchange(suspects_, {}); }
+
+    // The target can't be reached since `probed_at`: ends its flows, unless it showed life since.
+    void on_target_dead(const discovery::target& target, clock::time_point probed_at,
+                        clock::time_point now);
+    // A peer says so: it gets no new flows until then.
+    void on_target_said_dead(const discovery::target& target, clock::time_point until);
+    void on_target_reached(const discovery::target& target) { flows_.note_reached(target.token); }
     void expire(clock::time_point now);
 
     const flow_watch& flows() const { return flows_; }
@@ -127,6 +137,7 @@
     flow_watch flows_;
     demand_by_service demands_;  // of services of the catalogue
     std::vector<reset> resets_;
+    std::vector<routing_token> suspects_;
     decision_log log_;
     flow_observer& observer_;
     steering_limits limits_;
--- a/libraries/wire/bramleytrack.thrift
+++ b/libraries/wire/bramleytrack.thrift
@@ -174,10 +174,20 @@
 // What an instance that routes by token sees of one target.
 struct load_report {
   1: i32 token,
-  2: i32 open_requests,
-  3: bool is_silent      // left openings unanswered, and gave no sign of life since
+  2: i32 open_requests
+  // 3 was silence
 }
 
+// A target that several instances couldn't reach.
+struct dead_target_report {
+  1: i32 token,
+  2: i32 age_ms            // since it was found
+}
+
+// Whether the receiver reaches a target.
+struct reach_question { 1: i32 token }
+struct reach_answer { 1: i32 token, 2: bool is_reachable }
+
 // How much callers ask of a service through the sender.
 struct demand_report {
   1: i32 service_hash,
@@ -190,8 +200,9 @@
   2: i64 confirmed_ms_ago,   // age of the word that nothing newer was in the store; -1 is never
   3: bool has_lost_store,
   4: bool is_stopping,
-  5: list<load_report> loads, // the most loaded and the silent ones
-  6: list<demand_report> demands // the largest
+  5: list<load_report> loads, // the most loaded
+  6: list<demand_report> demands, // the largest
+  7: list<dead_target_report> dead
 }
 
 struct store_record {
@@ -227,5 +238,7 @@
   14: optional target_packet from_target,
   20: optional flow_locations_acknowledged locations_acknowledged,
   30: optional configuration_part configuration,
-  31: optional digest fleet_digest
+  31: optional digest fleet_digest,
+  32: optional reach_question reach_asked,
+  33: optional reach_answer reach_answered
 }
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -31,11 +31,14 @@
             add_instance(zone);
         }
     }
-    for (std::size_t i = 0; i < instances_.size(); ++i) {
-        known_.apply(
-            discovery::peer_entry{
-                .name = instance_name(i), .zone = "", .address = {}, .pull_address = {}},
-            static_cast<std::int64_t>(i) + 2, false, start);
+    for (std::size_t zone = 0; zone < counts.size(); ++zone) {
+        for (const auto i : instances_of_zone_[zone]) {
+            known_.apply(discovery::peer_entry{.name = instance_name(i),
+                                               .zone = zone_name(zone),
+                                               .address = {},
+                                               .pull_address = {}},
+                         static_cast<std::int64_t>(i) + 2, false, start);
+        }
     }
 }
 
@@ -74,7 +77,7 @@
     const auto name = instance_name(instances_.size());
     instances_of_zone_[zone].push_back(instances_.size());
     auto& made = instances_.emplace_back();
-    made.digests = std::make_unique<fleet::peer_digests>(known_, name, 1);
+    made.digests = std::make_unique<fleet::peer_digests>(known_, name, zone_name(zone), 1);
     made.cold = std::make_unique<steering::cold_gate>(name);
     made.core = std::make_unique<steering::steering>(
         steering::place{.zone = zone_name(zone), .regions = {}}, known_, *made.cold, *made.digests,
@@ -83,7 +86,7 @@
 
 wire::digest overload_fleet::digest_of(const instance& subject, clock::time_point now) const {
     wire::digest result;
-    result.loads = subject.digests->loads_of(subject.core->flows(), now);
+    result.loads = subject.digests->loads_of(subject.core->flows());
     if (choice_.shares_demands) {
         result.demands = subject.digests->demands_of(subject.core->demands(), now);
     }
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace bramleytrack {
 namespace {
@@ -69,7 +70,8 @@
 
 void peer_exchange::tick(const digest_facts& facts, const steering::steering& core,
                          clock::time_point now) {
-    const bool has_news = facts.known_revision > told_.known_revision;
+    const bool has_news =
+        facts.known_revision > told_.known_revision || (inquiries_ && inquiries_->has_news());
     if (now < next_digest_ && !has_news) {
         return;
     }
@@ -80,28 +82,76 @@
     content.confirmed_ms_ago = age_in_milliseconds(facts.confirmed, now);
     content.has_lost_store = facts.has_lost_store;
     content.is_stopping = facts.is_stopping;
-    content.loads = digests_.loads_of(core.flows(), now);
+    content.loads = digests_.loads_of(core.flows());
     content.demands = digests_.demands_of(core.demands(), now);
-    wire::peer_message message;
-    message.sender = name_;
-    message.incarnation = incarnation_;
-    message.__set_fleet_digest(content);
-    const auto datagram = encoder_.encode(message, key_);
+    if (inquiries_ != nullptr) {
+        for (const auto& each : inquiries_->take_verdicts(now)) {
+            auto& report = content.dead.emplace_back();
+            report.token = static_cast<std::int32_t>(each.token);
+            report.age_ms = static_cast<std::int32_t>(each.age.count());
+        }
+    }
+    auto wanted = message();
+    wanted.__set_fleet_digest(content);
+    const auto datagram = encoder_.encode(wanted, key_);
     for (const auto* receiver : digests_.next_receivers()) {
         digests_socket_.send(receiver->address, datagram);
     }
 }
 
+wire::peer_message peer_exchange::message() const {
+    wire::peer_message result;
+    result.sender = name_;
+    result.incarnation = incarnation_;
+    return result;
+}
+
+void peer_exchange::ask_whether_reachable(const discovery::peer_entry& peer,
+                                          discovery::routing_token token) {
+    wire::reach_question question;
+    question.token = static_cast<std::int32_t>(token);
+    auto wanted = message();
+    wanted.__set_reach_asked(question);
+    digests_socket_.send(peer.address, encoder_.encode(wanted, key_));
+}
+
+void peer_exchange::tell_whether_reachable(const discovery::peer_entry& peer,
+                                           discovery::routing_token token, bool is_reachable) {
+    wire::reach_answer answer;
+    answer.token = static_cast<std::int32_t>(token);
+    answer.is_reachable = is_reachable;
+    auto wanted = message();
+    wanted.__set_reach_answered(answer);
+    digests_socket_.send(peer.address, encoder_.encode(wanted, key_));
+}
+
 void peer_exchange::on_datagram(std::span<const std::uint8_t> datagram) {
     auto decoded = wire::decode_peer_message(datagram, key_);
-    auto* message = std::get_if<wire::peer_message>(&decoded);
-    if (message == nullptr || !message->__isset.fleet_digest) {
+    auto* told = std::get_if<wire::peer_message>(&decoded);
+    const auto now = clock::now();
+    if (told == nullptr) {
+        ++rejected_;
+    } else if (told->__isset.fleet_digest) {
+        on_digest_of(told->sender, std::move(told->fleet_digest), now);
+    } else if (told->__isset.reach_asked) {
+        question_(told->sender, static_cast<discovery::routing_token>(told->reach_asked.token),
+                  now);
+    } else if (told->__isset.reach_answered) {
+        answer_(told->sender, static_cast<discovery::routing_token>(told->reach_answered.token),
+                told->reach_answered.is_reachable, now);
+    } else {
         ++rejected_;
-        return;
     }
-    const auto now = clock::now();
-    const bool has_news = message->fleet_digest.known_revision > mirror_.revision();
-    digests_.on_digest(message->sender, std::move(message->fleet_digest), now);
+}
+
+void peer_exchange::on_digest_of(const std::string& peer, wire::digest content,
+                                 clock::time_point now) {
+    const bool has_news = content.known_revision > mirror_.revision();
+    const auto dead = std::exchange(content.dead, {});
+    digests_.on_digest(peer, std::move(content), now);
+    if (!dead.empty()) {
+        verdicts_(peer, dead, now);
+    }
     if (has_news) {
         has_news_(now);
     }
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -12,6 +12,7 @@
 #include "base/event_log.h"
 #include "fleet/peer_digests.h"
 #include "fleet/sources.h"
+#include "fleet/target_inquiry.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/udp_endpoint.h"
@@ -50,7 +51,26 @@
         has_news_ = std::move(callback);
     }
 
-    // Sends a digest when one is due, or at once when the revision has risen.
+    using question_callback = std::function<void(
+        std::string_view peer, discovery::routing_token token, clock::time_point now)>;
+    using answer_callback =
+        std::function<void(std::string_view peer, discovery::routing_token token, bool is_reachable,
+                           clock::time_point now)>;
+    using verdicts_callback =
+        std::function<void(std::string_view peer, std::span<const wire::dead_target_report> told,
+                           clock::time_point now)>;
+    // A peer asks whether a target can be reached from here, or answers that, or tells of dead
+    // ones.
+    void on_question(question_callback callback) { question_ = std::move(callback); }
+    void on_answer(answer_callback callback) { answer_ = std::move(callback); }
+    void on_verdicts(verdicts_callback callback) { verdicts_ = std::move(callback); }
+    // Where digests take the dead targets from that they tell of.
+    void tell_verdicts_of(fleet::target_inquiries& inquiries) { inquiries_ = &inquiries; }
+    void ask_whether_reachable(const discovery::peer_entry& peer, discovery::routing_token token);
+    void tell_whether_reachable(const discovery::peer_entry& peer, discovery::routing_token token,
+                                bool is_reachable);
+
+    // Sends a digest when one is due, or at once when the revision has risen or a target died.
     void tick(const digest_facts& facts, const steering::steering& core, clock::time_point now);
     // Fetches from a peer unless a pull is under way.
     void fetch(const fleet::pull& from, clock::time_point now);
@@ -65,6 +85,8 @@
 
 private:
     void on_datagram(std::span<const std::uint8_t> datagram);
+    void on_digest_of(const std::string& peer, wire::digest content, clock::time_point now);
+    wire::peer_message message() const;
     void serve(const net::http_request& request, const net::http_responder& respond);
     const std::string& changes_since(std::int64_t after);
     std::string ended_items() const;
@@ -80,6 +102,10 @@
     event_log& log_;
     pulled_callback pulled_;
     std::function<void(clock::time_point now)> has_news_;
+    question_callback question_;
+    answer_callback answer_;
+    verdicts_callback verdicts_;
+    fleet::target_inquiries* inquiries_ = nullptr;
     net::udp_endpoint digests_socket_;
     net::http_server pull_server_;
     net::http_client http_;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -52,7 +52,7 @@
       }},
       directory_{{.flow_lifetime = settings_.flow_lifetime}},
       cold_{settings_.name},
-      digests_{directory_, settings_.name, seed_of(settings_.name)},
+      digests_{directory_, settings_.name, settings_.zone, seed_of(settings_.name)},
       sources_{directory_, digests_, settings_.name},
       newcomer_{directory_, settings_.name},
       steering_{{.zone = settings_.zone, .regions = settings_.zones},
@@ -65,6 +65,7 @@
       registration_{parts_.store, parts_.registration_key, parts_.registration_value,
                     seed_of(settings_.name)},
       exchange_{loop, settings_, mirror_, digests_, log_},
+      checks_{loop, settings_, directory_, steering_, exchange_, log_},
       caller_port_{ntohs(bound_address(settings_.packet_address).sin_port)},
       packets_{loop, bound_address(settings_.packet_address),
                [this](std::span<const std::uint8_t> datagram) { on_datagram(datagram); }},
@@ -96,6 +97,10 @@
     exchange_.on_pulled([this](const peer_exchange::pulled& changes, clock::time_point now) {
         on_pulled(changes, now);
     });
+    checks_.on_flows_ended([this] {
+        send_waiting_resets();
+        packets_.flush();
+    });
     ticker_.set<steering_daemon, &steering_daemon::on_tick>(this);
     const double interval = static_cast<double>(tick_interval.count()) / milliseconds_per_second;
     ticker_.start(interval, interval);
@@ -136,6 +141,7 @@
         ask_what_ended();
     }
     steering_.expire(now);
+    checks_.expire(now);
     directory_.expire(now);
     check_settings(now);
     update_readiness(now);
@@ -162,6 +168,11 @@
     } else if (const auto* refused = std::get_if<steering::refuse>(&decision)) {
         send_reset(refused->answer);
     }
+    send_waiting_resets();
+    checks_.check_suspects(now);
+}
+
+void steering_daemon::send_waiting_resets() {
     for (const auto& each : steering_.take_resets()) {
         send_reset(each);
     }
@@ -258,6 +269,9 @@
                             clock::time_point now) {
     const bool is_store_suspect = sources_.is_store_suspect(feed_, suspicion, now);
     const auto outcome = directory_.apply(subject, revision, is_store_suspect, now);
+    if (const auto* entry = std::get_if<discovery::target_entry>(&subject)) {
+        checks_.on_entry(entry->id);
+    }
     if (outcome != discovery::change::none && log_.admits(log_kind::belief, now)) {
         log_.write(describe(subject, revision, outcome));
     }
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -23,6 +23,7 @@
 #include "steering/pause_guard.h"
 #include "steering/steering.h"
 #include "store/feed.h"
+#include "target_checks.h"
 
 namespace bramleytrack {
 
@@ -59,6 +60,7 @@
     void apply(const discovery::record& subject, std::int64_t revision, clock::time_point now);
     void send_forward(std::span<const std::uint8_t> datagram, const discovery::target& to);
     void send_reset(const steering::reset& wanted);
+    void send_waiting_resets();
     void check_settings(clock::time_point now);
     void report_ignored_keys();
     void update_readiness(clock::time_point now);
@@ -85,6 +87,7 @@
     store::feed feed_;
     discovery::registration registration_;
     peer_exchange exchange_;
+    target_checks checks_;
     std::uint16_t caller_port_;  // where callers receive resets
     net::packet_socket packets_;
     net::http_server readiness_;
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -2,6 +2,9 @@
 // the store or of a link leaves anybody behind for longer than the bound for a change.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "fleet/sources.h"
 #include "support/fake_store.h"
 #include "wire/codec.h"
@@ -18,7 +21,7 @@
     wire::digest result;
     result.known_revision = 123'456'789;
     result.confirmed_ms_ago = 2'400;
-    result.loads = digests.loads_of(flows, start);
+    result.loads = digests.loads_of(flows);
     return result;
 }
 
@@ -28,7 +31,7 @@
     testing::fake_store store_;
     store::mirror mirror_;
     store::feed feed_{store_, mirror_, 1};
-    peer_digests digests_{known_, "self", 1};
+    peer_digests digests_{known_, "self", "north", 1};
     sources sources_{known_, digests_, "self"};
     std::int64_t revision_ = 0;
 
@@ -179,7 +182,7 @@
     int watchers = 0;
     for (int self = 0; self < number; ++self) {
         const auto name = "peer-" + std::to_string(self);
-        peer_digests digests{known_, name, 1};
+        peer_digests digests{known_, name, "north", 1};
         const sources own{known_, digests, name};
         for (int i = 0; i < heard; ++i) {
             digests.on_digest("peer-" + std::to_string(pick(random)), digest(5, 0), start);
@@ -198,7 +201,7 @@
             discovery::peer_entry{.name = name, .zone = "", .address = "", .pull_address = ""}, i,
             false, start);
     }
-    peer_digests digests{known, "p0", 1};
+    peer_digests digests{known, "p0", "", 1};
     wire::digest content;
     wire::load_report report;
     report.token = 11;
@@ -218,7 +221,7 @@
             discovery::peer_entry{.name = name, .zone = "", .address = "", .pull_address = ""}, 1,
             false, start);
     }
-    peer_digests digests{known, "p0", 1};
+    peer_digests digests{known, "p0", "", 1};
     steering::demand_by_service demands;
     demands["board"].on_asked(start);
     demands["board"].on_asked(start);
@@ -243,7 +246,7 @@
                                           .pull_address = ""},
                     i, false, start);
     }
-    peer_digests digests{known, "p0", 1};
+    peer_digests digests{known, "p0", "", 1};
     std::map<std::string, int> told;
     for (int round = 0; round < 3; ++round) {
         const auto receivers = digests.next_receivers();
@@ -256,10 +259,62 @@
     EXPECT_FALSE(told.contains("p0"));
 }
 
+// Forty peers in each of three zones.
+discovery::directory three_zones() {
+    discovery::directory known;
+    for (const auto* zone : {"north", "south", "west"}) {
+        for (int i = 0; i < 40; ++i) {
+            known.apply(discovery::peer_entry{.name = zone + std::to_string(i),
+                                              .zone = zone,
+                                              .address = "",
+                                              .pull_address = ""},
+                        i, false, start);
+        }
+    }
+    return known;
+}
+
+TEST(peer_digests, most_receivers_are_of_the_own_zone_and_all_are_told_in_turn) {
+    // Guards against signs of a target that reach one in five of those who have its flows.
+    const auto known = three_zones();
+    peer_digests digests{known, "north0", "north", 1};
+    std::set<std::string> near;
+    for (int round = 0; round < 7; ++round) {
+        const auto receivers = digests.next_receivers();
+        EXPECT_EQ(receivers.size(), 8U);
+        EXPECT_GE(std::ranges::count(receivers, "north", &discovery::peer_entry::zone), 3);
+        EXPECT_GE(std::ranges::count_if(receivers,
+                                        [](const auto* each) { return each->zone != "north"; }),
+                  2);
+        for (const auto* each : receivers) {
+            if (each->zone == "north") {
+                near.insert(each->name);
+            }
+        }
+    }
+    EXPECT_EQ(near.size(), 39U);
+}
+
+TEST(peer_digests, a_digest_stands_for_those_of_its_own_zone) {
+    // Guards against two instances of a far zone that stand for forty and make a target look full.
+    const auto known = three_zones();
+    peer_digests digests{known, "north0", "north", 1};
+    wire::digest content;
+    content.loads.emplace_back();
+    content.loads.back().token = 11;
+    content.loads.back().open_requests = 1;
+    for (int i = 1; i <= 26; ++i) {
+        digests.on_digest("north" + std::to_string(i), content, start);
+    }
+    EXPECT_DOUBLE_EQ(digests.open_elsewhere(11, start), 39);
+    digests.on_digest("south0", content, start);
+    EXPECT_DOUBLE_EQ(digests.open_elsewhere(11, start + clock::duration{60}), 41);
+}
+
 TEST(peer_digests, a_digest_keeps_within_what_an_instance_has_for_control) {
     // 5 KB a second: 8 receivers each 300 ms leave 187 bytes for a digest, whatever is loaded.
     const discovery::directory known;
-    const peer_digests digests{known, "p0", 1};
+    const peer_digests digests{known, "p0", "", 1};
     steering::flow_watch flows;
     for (std::uint16_t port = 1; port < 500; ++port) {
         steering::segment opening;
--- a/tests/steering_regions_test.cpp
+++ b/tests/steering_regions_test.cpp
@@ -14,7 +14,7 @@
 class steering_regions : public ::testing::Test {
 protected:
     discovery::directory known_;
-    fleet::peer_digests digests_{known_, "self", 1};
+    fleet::peer_digests digests_{known_, "self", "north", 1};
     steering::cold_gate cold_{"self"};
     observability::budgeted_log log_;
     observability::steering_metrics metrics_;
--- a/tests/steering_waiting_copies_test.cpp
+++ b/tests/steering_waiting_copies_test.cpp
@@ -52,7 +52,7 @@
     }
 
     discovery::directory known_;
-    fleet::peer_digests digests_{known_, "self", 1};
+    fleet::peer_digests digests_{known_, "self", "north", 1};
     steering::cold_gate cold_{"self"};
     observability::budgeted_log log_;
     observability::steering_metrics metrics_;
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -51,22 +51,52 @@
     {"catch_up", &steering_session::catch_up},
     {"digests", &steering_session::exchange_digests}};
 
-steering_session::node::node(std::string own_name, const std::string& zone, event_log& log,
-                             steering::flow_observer& observer)
-    : name{std::move(own_name)},
-      digests{known, name, 1},
+steering_session::node::node(steering_session& owner, std::string own_name, const std::string& zone)
+    : session{owner},
+      name{std::move(own_name)},
+      digests{known, name, zone, 1},
       cold{name},
       subject{{.zone = zone, .regions = {{"north", "home"}, {"south", "home"}}},
               known,
               cold,
               digests,
-              log,
-              observer} {}
+              owner,
+              owner},
+      inquiries{known, name, zone, *this} {}
+
+void steering_session::node::probe(const discovery::target& target) {
+    inquiries.on_probe(target.token, !session.is_mute(target.entry.id), session.now_);
+}
+
+void steering_session::node::ask(const discovery::peer_entry& peer,
+                                 discovery::routing_token token) {
+    session.instance_named(peer.name).inquiries.on_question(name, token, session.now_);
+}
+
+void steering_session::node::answer(const discovery::peer_entry& peer,
+                                    discovery::routing_token token, bool is_reachable) {
+    session.instance_named(peer.name).inquiries.on_answer(name, token, is_reachable, session.now_);
+}
+
+void steering_session::node::on_dead(const discovery::target& target, clock::time_point probed_at,
+                                     std::span<const std::string> /*confirmed_by*/,
+                                     clock::time_point now) {
+    session.transcript_.push_back("  " + name + ": " + target.entry.id + " can't be reached");
+    subject.on_target_dead(target, probed_at, now);
+    session.note_resets(*this);
+}
+
+void steering_session::node::on_said_dead(const discovery::target& target, clock::time_point until,
+                                          clock::time_point /*now*/) {
+    subject.on_target_said_dead(target, until);
+}
+
+void steering_session::node::on_reached(const discovery::target& target) {
+    subject.on_target_reached(target);
+}
 
 steering_session::steering_session() : now_{epoch} {
-    event_log& log = *this;
-    steering::flow_observer& observer = *this;
-    nodes_.push_back(std::make_unique<node>("self", "north", log, observer));
+    nodes_.push_back(std::make_unique<node>(*this, "self", "north"));
     nodes_.front()->cold.on_registered(epoch);
 }
 
@@ -147,9 +177,7 @@
 }
 
 void steering_session::add_instance(const words& arguments) {
-    event_log& log = *this;
-    steering::flow_observer& observer = *this;
-    nodes_.push_back(std::make_unique<node>(arguments[0], arguments[1], log, observer));
+    nodes_.push_back(std::make_unique<node>(*this, arguments[0], arguments[1]));
     auto& made = *nodes_.back();
     made.cold.on_registered(now_);
     for (const auto& each : published_) {
@@ -177,9 +205,14 @@
 void steering_session::exchange_digests(const words& /*arguments*/) {
     for (const auto& from : nodes_) {
         wire::digest content;
-        content.loads = from->digests.loads_of(from->subject.flows(), now_);
+        content.loads = from->digests.loads_of(from->subject.flows());
+        const auto dead = from->inquiries.take_verdicts(now_);
         for (const auto& to : nodes_) {
             to->digests.on_digest(from->name, content, now_);
+            for (const auto& each : dead) {
+                const bool has_flows = to->subject.flows().signs(each.token).flows > 0;
+                to->inquiries.on_said_dead(from->name, each, has_flows, now_);
+            }
         }
     }
 }
@@ -279,6 +312,7 @@
     now_ += clock::duration{std::stoi(arguments[0])};
     for (auto& each : nodes_) {
         each->subject.expire(now_);
+        each->inquiries.expire(now_);
         each->known.expire(now_);
     }
 }
@@ -294,9 +328,8 @@
     if (const auto* forwarded = std::get_if<steering::forward>(&made)) {
         const auto& id = forwarded->to->entry.id;
         line += "to " + id;
-        const bool is_mute = std::ranges::find(mute_, id) != mute_.end();
         auto& known = flows_.at(flow);
-        if (!is_mute && (content.is_opening || content.length > 0)) {
+        if (!is_mute(id) && (content.is_opening || content.length > 0)) {
             known.token = forwarded->to->token;
             known.acknowledged += answer_size;
             line += ", which answers";
@@ -307,7 +340,18 @@
         line += "dropped, " + std::string{name_of(std::get<steering::drop>(made).reason)};
     }
     transcript_.push_back(line);
-    for (const auto& each : subject.subject.take_resets()) {
+    note_resets(subject);
+    for (const auto token : subject.subject.take_suspects()) {
+        subject.inquiries.suspect(token, now_);
+    }
+}
+
+bool steering_session::is_mute(const std::string& target) const {
+    return std::ranges::find(mute_, target) != mute_.end();
+}
+
+void steering_session::note_resets(node& of) {
+    for (const auto& each : of.subject.take_resets()) {
         transcript_.push_back("  flow " +
                               std::to_string(each.flow.caller.port - first_caller_port) +
                               ": reset, sequence " + std::to_string(each.sequence));
--- a/tests/support/steering_session.h
+++ b/tests/support/steering_session.h
@@ -3,7 +3,8 @@
 // There is one instance, self in zone north, until `instance NAME ZONE` adds others, which begin
 // with all that was published. `via=NAME` names the instance that a packet reaches; `to=A,B` lets
 // only those hear of a change, and `catch_up NAME` tells an instance what it missed. `digests`
-// passes the load of targets, as each instance sees it, to all others.
+// passes the load of targets, as each instance sees it, and the dead ones that it found, to all
+// others. Instances try to reach targets that leave packets unanswered; a mute one isn't reached.
 //
 // Commands: route NAME PORT SERVICE=WEIGHT..., drop ROUTE, target ID SERVICE ZONE [cold=MS], drain
 // ID, gone ID, zone_out ZONE, zone_back ZONE, open FLOW ROUTE [copy=N], data FLOW bytes=N, again
@@ -20,6 +21,7 @@
 
 #include "discovery/directory.h"
 #include "fleet/peer_digests.h"
+#include "fleet/target_inquiry.h"
 #include "steering/steering.h"
 
 namespace bramleytrack::testing {
@@ -40,15 +42,26 @@
     };
 
     // One instance: what it knows, and what decides.
-    struct node {
-        node(std::string own_name, const std::string& zone, event_log& log,
-             steering::flow_observer& observer);
-
+    struct node final : private fleet::inquiry_actions {
+        node(steering_session& owner, std::string own_name, const std::string& zone);
+
+        void probe(const discovery::target& target) override;
+        void ask(const discovery::peer_entry& peer, discovery::routing_token token) override;
+        void answer(const discovery::peer_entry& peer, discovery::routing_token token,
+                    bool is_reachable) override;
+        void on_dead(const discovery::target& target, clock::time_point probed_at,
+                     std::span<const std::string> confirmed_by, clock::time_point now) override;
+        void on_said_dead(const discovery::target& target, clock::time_point until,
+                          clock::time_point now) override;
+        void on_reached(const discovery::target& target) override;
+
+        steering_session& session;
         std::string name;
         discovery::directory known;
         fleet::peer_digests digests;
         steering::cold_gate cold;
         steering::steering subject;
+        fleet::target_inquiries inquiries;
         std::vector<std::size_t> missed;  // of published_
     };
     struct publication {
@@ -83,6 +96,8 @@
     void apply(const discovery::record& subject, const words& arguments);
     void tell(node& to, const publication& what);
     node& instance_named(const std::string& name);
+    bool is_mute(const std::string& target) const;
+    void note_resets(node& of);
     void deliver(const std::string& flow, const steering::segment& content, const words& arguments);
     steering::segment packet_of(const std::string& flow) const;
 
