--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -18,6 +18,7 @@
 constexpr clock::duration second_opening_copy{400};  // after the first one
 constexpr clock::duration opening_limit{800};        // after that
 constexpr clock::duration first_repeat{200};         // of data; the pause doubles
+constexpr clock::duration probe_limit{60};           // of an instance that tries to reach a target
 constexpr clock::duration budget{800};               // of a request; its caller gives up then
 constexpr int most_tries = 3;
 constexpr double slow_factor = 5;
@@ -54,12 +55,13 @@
     clock::duration repeat_after{0};
 };
 
-enum class event_kind { ask, opened, arrived, done, digest, copy_opening, repeat, die };
+enum class event_kind { ask, opened, arrived, done, digest, copy_opening, repeat, die, probed };
 
 struct event {
     clock::time_point at;
     event_kind kind = event_kind::ask;
-    int subject = 0;  // a caller, or for done a host with its caller below
+    // A caller, for done a host with its caller below, for probed an instance with the host below.
+    int subject = 0;
     int other = 0;
 
     bool operator>(const event& right) const { return at > right.at; }
@@ -92,6 +94,8 @@
         }
         zone_asked_.resize(fleet_.zones());
         zone_in_time_.resize(fleet_.zones());
+        fleet_.on_probe(
+            [this](std::size_t instance, std::size_t host) { begin_probe(instance, host); });
         schedule(pattern.length / third, event_kind::die, 0);
         schedule(digest_interval, event_kind::digest, 0);
     }
@@ -178,6 +182,24 @@
             case event_kind::die:
                 let_targets_die();
                 break;
+            case event_kind::probed:
+                end_probe(static_cast<std::size_t>(next.subject),
+                          static_cast<std::size_t>(next.other));
+                break;
+        }
+    }
+
+    void begin_probe(std::size_t instance, std::size_t host) {
+        schedule(hosts_[host].is_dead ? probe_limit : network, event_kind::probed,
+                 static_cast<int>(instance), static_cast<int>(host));
+    }
+
+    void end_probe(std::size_t instance, std::size_t host) {
+        fleet_.on_probed(instance, host, !hosts_[host].is_dead, now_);
+        for (std::size_t zone = 0; zone < fleet_.zones(); ++zone) {
+            for (const auto each : fleet_.instances_of(zone)) {
+                end_flows(fleet_.core(each));
+            }
         }
     }
 
@@ -191,8 +213,10 @@
     bool is_light(int index) const { return callers_[static_cast<std::size_t>(index)].member > 0; }
 
     steering::decision deliver(const caller& by, const steering::segment& content) {
-        return fleet_.core(by.instance)
-            .on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
+        const auto made = fleet_.core(by.instance)
+                              .on_segment(content, {.is_complete = true, .confirmed = now_}, now_);
+        fleet_.check_suspects(by.instance, now_);
+        return made;
     }
 
     void ask(int index) {
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -74,9 +74,15 @@
 }
 
 void overload_fleet::add_instance(std::size_t zone) {
-    const auto name = instance_name(instances_.size());
+    const auto number = instances_.size();
+    const auto name = instance_name(number);
+    number_of_[name] = number;
     instances_of_zone_[zone].push_back(instances_.size());
     auto& made = instances_.emplace_back();
+    made.name = name;
+    made.actions = std::make_unique<checks>(*this, number);
+    made.inquiries =
+        std::make_unique<fleet::target_inquiries>(known_, name, zone_name(zone), *made.actions);
     made.digests = std::make_unique<fleet::peer_digests>(known_, name, zone_name(zone), 1);
     made.cold = std::make_unique<steering::cold_gate>(name);
     made.core = std::make_unique<steering::steering>(
@@ -94,20 +100,74 @@
 }
 
 void overload_fleet::exchange_digests(clock::time_point now) {
+    now_ = now;
     for (auto& each : instances_) {
         each.core->expire(now);
+        each.inquiries->expire(now);
     }
     if (!choice_.shares_loads) {
         return;
     }
     for (std::size_t from = 0; from < instances_.size(); ++from) {
         const auto content = digest_of(instances_[from], now);
+        const auto dead = instances_[from].inquiries->take_verdicts(now);
         for (std::size_t to = 0; to < instances_.size(); ++to) {
             if (to != from) {
                 instances_[to].digests->on_digest(instance_name(from), content, now);
+                for (const auto& each : dead) {
+                    const bool has_flows = instances_[to].core->flows().signs(each.token).flows > 0;
+                    instances_[to].inquiries->on_said_dead(instances_[from].name, each, has_flows,
+                                                           now);
+                }
             }
         }
     }
 }
 
+void overload_fleet::check_suspects(std::size_t number, clock::time_point now) {
+    now_ = now;
+    auto& subject = instances_[number];
+    for (const auto token : subject.core->take_suspects()) {
+        subject.inquiries->suspect(token, now);
+    }
+}
+
+void overload_fleet::on_probed(std::size_t number, std::size_t host, bool is_reachable,
+                               clock::time_point now) {
+    now_ = now;
+    const auto token = discovery::token_of("i-" + std::to_string(host));
+    instances_[number].inquiries->on_probe(token, is_reachable, now);
+}
+
+void overload_fleet::checks::probe(const discovery::target& target) {
+    fleet_.probe_(number_, fleet_.host_of(target.token));
+}
+
+void overload_fleet::checks::ask(const discovery::peer_entry& peer,
+                                 discovery::routing_token token) {
+    auto& asked = fleet_.instances_[fleet_.number_of_.at(peer.name)];
+    asked.inquiries->on_question(fleet_.instances_[number_].name, token, fleet_.now_);
+}
+
+void overload_fleet::checks::answer(const discovery::peer_entry& peer,
+                                    discovery::routing_token token, bool is_reachable) {
+    auto& asker = fleet_.instances_[fleet_.number_of_.at(peer.name)];
+    asker.inquiries->on_answer(fleet_.instances_[number_].name, token, is_reachable, fleet_.now_);
+}
+
+void overload_fleet::checks::on_dead(const discovery::target& target, clock::time_point probed_at,
+                                     std::span<const std::string> /*confirmed_by*/,
+                                     clock::time_point now) {
+    fleet_.core(number_).on_target_dead(target, probed_at, now);
+}
+
+void overload_fleet::checks::on_said_dead(const discovery::target& target, clock::time_point until,
+                                          clock::time_point /*now*/) {
+    fleet_.core(number_).on_target_said_dead(target, until);
+}
+
+void overload_fleet::checks::on_reached(const discovery::target& target) {
+    fleet_.core(number_).on_target_reached(target);
+}
+
 }  // namespace bramleytrack::experiments
--- a/services/bramleybench/overload_fleet.h
+++ b/services/bramleybench/overload_fleet.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -12,6 +14,7 @@
 #include "base/clock.h"
 #include "discovery/directory.h"
 #include "fleet/peer_digests.h"
+#include "fleet/target_inquiry.h"
 #include "overload_experiment.h"
 #include "steering/steering.h"
 
@@ -26,6 +29,9 @@
     overload_fleet(const overload_pattern& pattern, const overload_choice& choice,
                    clock::time_point start);
 
+    overload_fleet(const overload_fleet&) = delete;
+    overload_fleet& operator=(const overload_fleet&) = delete;
+
     std::size_t zones() const { return instances_of_zone_.size(); }
     std::span<const std::size_t> instances_of(std::size_t zone) const {
         return instances_of_zone_[zone];
@@ -35,6 +41,13 @@
     std::size_t host_of(steering::routing_token token) const { return host_of_.at(token); }
     void exchange_digests(clock::time_point now);
 
+    // Told that an instance tries to reach a target; on_probed is to be called with the outcome.
+    using probe_callback = std::function<void(std::size_t instance, std::size_t host)>;
+    void on_probe(probe_callback callback) { probe_ = std::move(callback); }
+    void on_probed(std::size_t number, std::size_t host, bool is_reachable, clock::time_point now);
+    // Checks the targets that the instance has become suspicious of.
+    void check_suspects(std::size_t number, clock::time_point now);
+
 private:
     class quiet_log final : public event_log {
     public:
@@ -51,7 +64,30 @@
                          const steering::decision& /*made*/) override {}
     };
 
+    // What an instance does in the course of an inquiry.
+    class checks final : public fleet::inquiry_actions {
+    public:
+        checks(overload_fleet& fleet, std::size_t number) : fleet_{fleet}, number_{number} {}
+
+        void probe(const discovery::target& target) override;
+        void ask(const discovery::peer_entry& peer, discovery::routing_token token) override;
+        void answer(const discovery::peer_entry& peer, discovery::routing_token token,
+                    bool is_reachable) override;
+        void on_dead(const discovery::target& target, clock::time_point probed_at,
+                     std::span<const std::string> confirmed_by, clock::time_point now) override;
+        void on_said_dead(const discovery::target& target, clock::time_point until,
+                          clock::time_point now) override;
+        void on_reached(const discovery::target& target) override;
+
+    private:
+        overload_fleet& fleet_;
+        std::size_t number_;
+    };
+
     struct instance {
+        std::string name;
+        std::unique_ptr<checks> actions;
+        std::unique_ptr<fleet::target_inquiries> inquiries;
         std::unique_ptr<fleet::peer_digests> digests;
         std::unique_ptr<steering::cold_gate> cold;
         std::unique_ptr<steering::steering> core;
@@ -68,6 +104,9 @@
     quiet_log log_;
     no_observer observer_;
     std::vector<instance> instances_;
+    std::map<std::string, std::size_t, std::less<>> number_of_;  // by the instance's name
+    probe_callback probe_;
+    clock::time_point now_;
     std::vector<std::vector<std::size_t>> instances_of_zone_;  // into instances_
     std::unordered_map<steering::routing_token, std::size_t> host_of_;
 };
