Store: Start at a tenth of the price, and go on with the old entry

A start read two pages at the full price, took a lease, wrote its entry, and watched at once, as it had heard no peer yet; each entry woke all watchers.

Change: the first read may be seconds old, at a tenth of the price, and confirms nothing; it counts from its oldest page, and what changed since comes from peers' digests, or from a watch. A newcomer hears its peers for 900 ms before it watches. An entry of the same content from before the start is gone on with by one renewal of its lease.

Ruled out: first reads from seeds: after a loss of power they know nothing either, and their links are those of small instances.

Tests: store_feed.the_first_read_may_be_old_..., a_read_counts_from_its_oldest_page, registration_test.goes_on_with_... and two beside it, fleet_sources.a_newcomer_hears_its_peers_..., kv_store_answers.a_page_that_may_be_seconds_old_...

What is left of the calls are watches of several instances and starts that are planned.

--- a/libraries/discovery/registration.cpp
+++ b/libraries/discovery/registration.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+void registration::adopt(std::string_view value, std::int64_t lease) {
+    if (step_ != step::idle || lease_ != 0 || lease == 0 || value != value_) {
+        return;
+    }
+    lease_ = lease;
+    is_written_ = true;
+}
+
 void registration::on_entry_removed(clock::time_point now) {
     if (step_ == step::ended || !is_held_) {
         return;
@@ -109,6 +117,7 @@
             if (std::holds_alternative<store::lease>(answer)) {
                 valid_until_ = sent + limits_.lifetime;
                 succeed(sent, now);
+                set_held(true, result_code::ok, now);
             } else {
                 fail(std::get<result_code>(answer), now);
             }
--- a/libraries/discovery/registration.h
+++ b/libraries/discovery/registration.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "store/store.h"
 
@@ -32,6 +33,12 @@
 
     void on_state(state_callback callback) { state_changed_ = std::move(callback); }
     void tick(clock::time_point now);
+    // The store shows an entry of this instance under that lease, from before its last start.
+    //
+    // Load that it answers: a zone or the whole fleet comes back after a loss of power, and each
+    // instance would take a lease and write an entry that is there already, which wakes all
+    // watchers. One renewal does.
+    void adopt(std::string_view value, std::int64_t lease);
     // The store shows that the entry is gone though the lease may live: it was taken away.
     void on_entry_removed(clock::time_point now);
     // Removes the entry, so that peers need not wait for the lease to run out.
--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -14,6 +14,9 @@
     // Failure: peers know more, and none of them can be asked, since this instance hasn't learned
     // yet where they are, or they don't answer. It would stay behind for good.
     const bool stays_behind = is_behind_ && now - behind_since_ > limits_.longest_behind;
+    if (!stays_behind && now - informed_at_ < limits_.patience_of_newcomer) {
+        return false;
+    }
     if (stays_behind || now - confirmed_at(own, 0) > limits_.longest_without_word) {
         return true;
     }
--- a/libraries/fleet/sources.h
+++ b/libraries/fleet/sources.h
@@ -33,6 +33,9 @@
     clock::duration longest_behind{1'000};
     // An instance that the store refuses leaves the watch to others and tries again so much later.
     clock::duration retry_after_loss{3'000};
+    // An instance that has just read everything hears three digests before it watches: one of its
+    // peers watches already, or they all start together and settle who does.
+    clock::duration patience_of_newcomer{900};
     // Without a word from the store or any peer for so long, the instance takes itself for cut off.
     clock::duration isolation{2'000};
 };
@@ -48,6 +51,9 @@
     sources(const discovery::directory& known, const peer_digests& digests, std::string self,
             source_limits limits = {});
 
+    // Everything was read for the first time.
+    void on_informed(clock::time_point now) { informed_at_ = now; }
+
     // Whether this instance's own watch is wanted now.
     bool should_watch(const store::feed& own, clock::time_point now) const;
 
@@ -72,6 +78,7 @@
     const peer_digests& digests_;
     std::string self_;
     source_limits limits_;
+    clock::time_point informed_at_;
     clock::time_point pulled_confirmation_;
     clock::time_point behind_since_;
     bool is_behind_ = false;
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -50,13 +50,14 @@
     read_started_ = now;
     watch_attempt_ = 0;
     const auto attempt = ++attempts_;
-    reads_.push_back({.attempt = attempt, .items = {}, .revision = std::nullopt});
+    reads_.push_back(
+        {.attempt = attempt, .freshness = freshness(), .items = {}, .revision = std::nullopt});
     ask_page({}, attempt, now);
 }
 
 void feed::ask_page(const std::string& after_key, std::int64_t attempt, clock::time_point sent) {
     ++calls_;
-    store_.range(everything, after_key, limits_.read_limit,
+    store_.range(everything, after_key, freshness(), limits_.read_limit,
                  [this, attempt, sent](const outcome<page>& answer, clock::time_point now) {
                      on_page(attempt, sent, answer, now);
                  });
@@ -77,9 +78,8 @@
         return;
     }
     current->items.insert(current->items.end(), part->items.begin(), part->items.end());
-    if (!current->revision) {
-        current->revision = part->revision;
-    }
+    // Pages that may be seconds old needn't come in the order of their revisions.
+    current->revision = std::min(current->revision.value_or(part->revision), part->revision);
     if (part->has_more && !part->items.empty()) {
         ask_page(part->items.back().key, attempt, now);
         return;
@@ -88,7 +88,10 @@
     reads_.clear();
     must_read_ = false;
     phase_ = phase::idle;
-    succeed(sent, now);
+    succeed(now);
+    if (whole.freshness == read_freshness::newest) {
+        confirmed_at_ = std::max(confirmed_at_, sent);
+    }
     const auto changes = known_.replace(whole.items, *whole.revision);
     is_complete_ = true;
     publish(changes, now);
@@ -127,7 +130,8 @@
     }
     // An answer without events was given when the wait was over, or later.
     const bool has_waited = part->events.empty() && now - sent >= limits_.watch_wait;
-    succeed(has_waited ? sent + limits_.watch_wait : sent, now);
+    succeed(now);
+    confirmed_at_ = std::max(confirmed_at_, has_waited ? sent + limits_.watch_wait : sent);
     const auto changes = known_.apply(part->events);
     known_.advance(part->revision);
     publish(changes, now);
@@ -136,8 +140,7 @@
     next_start_ = now + (part->events.empty() ? pause_if_empty : limits_.pause_after_news);
 }
 
-void feed::succeed(clock::time_point sent, clock::time_point now) {
-    confirmed_at_ = std::max(confirmed_at_, sent);
+void feed::succeed(clock::time_point now) {
     if (failed_at_ != clock::time_point{}) {
         unreachable_at_ = now;
     }
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -1,5 +1,9 @@
 // Keeps a mirror of the store up to date: one read of everything, then one watch after the other.
 //
+// Load that it answers: all instances start at once after a loss of power, and each reads
+// everything. The first read may be seconds old, at a tenth of the price; what changed since comes
+// from a peer, or from a watch that begins at the read's revision.
+//
 // Failures that it answers: the store is away, slow, or refuses this instance alone; an answer is
 // lost and the connection stays open in silence; the history is gone. Each call has a limit of its
 // own, each failure is followed by a retry within a second, and after any doubt all is read anew.
@@ -61,8 +65,8 @@
     // Whether everything was read at least once.
     bool is_complete() const { return is_complete_; }
     bool is_reachable() const { return is_reachable_; }
-    // What is known was all there is then: when a read was sent, or when a watch had waited in
-    // vain.
+    // What is known was all there is then: when a read of the newest state was sent, or when a
+    // watch had waited in vain.
     clock::time_point confirmed_at() const { return confirmed_at_; }
     // When the last call failed; the epoch when none did since an answer.
     clock::time_point failed_at() const { return failed_at_; }
@@ -75,19 +79,23 @@
 
     void start_read(clock::time_point now);
     void ask_page(const std::string& after_key, std::int64_t attempt, clock::time_point sent);
+    read_freshness freshness() const {
+        return is_complete_ ? read_freshness::newest : read_freshness::seconds_old;
+    }
     void on_page(std::int64_t attempt, clock::time_point sent, const outcome<page>& answer,
                  clock::time_point now);
     void start_watch(clock::time_point sent);
     void on_news(std::int64_t attempt, clock::time_point sent, const outcome<news>& answer,
                  clock::time_point now);
-    void succeed(clock::time_point sent, clock::time_point now);
+    void succeed(clock::time_point now);
     void fail(result_code reason, clock::time_point now);
     void publish(std::span<const event> events, clock::time_point now);
 
     struct reading {
         std::int64_t attempt = 0;
+        read_freshness freshness = read_freshness::newest;
         std::vector<item> items;
-        std::optional<std::int64_t> revision;  // of the first page
+        std::optional<std::int64_t> revision;  // of the oldest page
     };
 
     client& store_;
--- a/libraries/store/store.h
+++ b/libraries/store/store.h
@@ -21,6 +21,7 @@
     std::string key;
     std::string value;
     std::int64_t revision = 0;  // of its last change
+    std::int64_t lease = 0;     // under which it stands; 0: none, or not told
 
     bool operator==(const item&) const = default;
 };
@@ -88,6 +89,12 @@
 template <typename answer>
 using callback = std::function<void(const outcome<answer>&, clock::time_point now)>;
 
+// How new what is read has to be.
+enum class read_freshness {
+    newest,
+    seconds_old  // at a fraction of the price; later changes show up in a watch
+};
+
 class client {
 public:
     client() = default;
@@ -97,8 +104,8 @@
 
     virtual void get(std::string_view key, clock::duration limit, callback<found_item> done) = 0;
     // Items whose key begins with `prefix` and sorts after `after_key`.
-    virtual void range(std::string_view prefix, std::string_view after_key, clock::duration limit,
-                       callback<page> done) = 0;
+    virtual void range(std::string_view prefix, std::string_view after_key,
+                       read_freshness freshness, clock::duration limit, callback<page> done) = 0;
     // Answers at the first change after `revision`, or without events after `wait`.
     virtual void watch(std::string_view prefix, std::int64_t revision, clock::duration wait,
                        clock::duration limit, callback<news> done) = 0;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -242,6 +242,7 @@
 void steering_daemon::on_store_change(std::span<const store::event> events, clock::time_point now) {
     if (!is_informed_) {
         is_informed_ = true;
+        sources_.on_informed(now);
         pauses_.on_event(now);  // packets that waited for long are no better than after a pause
         packets_.start_receiving();
     }
@@ -254,6 +255,9 @@
 void steering_daemon::take_changes(std::span<const store::event> events, clock::time_point now) {
     for (const auto& each : events) {
         if (const auto* written = std::get_if<store::item>(&each)) {
+            if (written->key == parts_.registration_key) {
+                registration_.adopt(written->value, written->lease);
+            }
             apply(parts_.records.read(written->key, written->value), written->revision, now);
         } else {
             const auto& removed = std::get<store::removal>(each);
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -38,6 +38,12 @@
     void SetUp() override {
         add_peer("self");
         feed_.tick(start);
+        answer_read();
+        feed_.read_anew(start);  // the first read may be seconds old
+        answer_read();
+    }
+
+    void answer_read() {
         store_.ranges.back().done(store::page{.items = {}, .has_more = false, .revision = 5},
                                   start);
     }
@@ -71,6 +77,14 @@
     EXPECT_TRUE(sources_.should_watch(feed_, start));
 }
 
+TEST_F(fleet_sources, a_newcomer_hears_its_peers_before_it_watches) {
+    // Guards against a whole fleet that watches at once when power is back.
+    sources_.on_informed(start);
+    EXPECT_FALSE(sources_.should_watch(feed_, start));
+    EXPECT_FALSE(sources_.should_watch(feed_, start + clock::duration{800}));
+    EXPECT_TRUE(sources_.should_watch(feed_, start + clock::duration{900}));
+}
+
 TEST_F(fleet_sources, leaves_the_watch_to_the_highest_rank_that_it_hears) {
     const auto other = watcher();
     add_peer(other);
--- a/tests/kv_store_test.cpp
+++ b/tests/kv_store_test.cpp
@@ -30,6 +30,7 @@
             respond(answer_);
         }};
     net::http_client http_{loop_};
+    store::read_freshness freshness_ = store::read_freshness::newest;
     kv_store subject_{http_, *net::parse_address(address_)};
 
     // Calls one of the store's functions and waits for its answer.
@@ -46,7 +47,7 @@
     }
     store::outcome<store::page> range(const std::string& body, int status = 200) {
         return outcome_of<store::page>(body, status, [this](store::callback<store::page> done) {
-            subject_.range("servers/", "", limit, std::move(done));
+            subject_.range("servers/", "", freshness_, limit, std::move(done));
         });
     }
     store::outcome<store::news> watch(const std::string& body, int status = 200) {
@@ -71,6 +72,12 @@
     }
 };
 
+TEST_F(kv_store_answers, a_page_that_may_be_seconds_old_is_asked_for_at_its_price) {
+    freshness_ = store::read_freshness::seconds_old;
+    range(R"({"items":[],"has_more":false,"store_revision":1})");
+    EXPECT_EQ(asked_.query_or("serializable", ""), "1");
+}
+
 TEST_F(kv_store_answers, a_page_of_items) {
     const auto read = std::get<store::page>(range(
         R"({"items":[{"key":"servers/i-1","value":"eA==","revision":5,"created":4,"lease":0}],)"
@@ -80,6 +87,7 @@
     EXPECT_TRUE(read.has_more);
     EXPECT_EQ(read.revision, 9);
     EXPECT_EQ(asked_.path, "/-/kv-range");
+    EXPECT_EQ(asked_.query_or("serializable", ""), "");
     EXPECT_EQ(asked_.query_or("prefix", ""), "servers/");
 }
 
--- a/tests/registration_test.cpp
+++ b/tests/registration_test.cpp
@@ -45,6 +45,35 @@
     EXPECT_TRUE(subject_.is_held());
 }
 
+TEST_F(registration_test, goes_on_with_the_entry_from_before_its_last_start) {
+    // Guards against a fleet that writes all its entries anew when power is back.
+    subject_.adopt("value", 9);
+    subject_.tick(start);
+    ASSERT_EQ(store_.leases.size(), 1U);
+    EXPECT_EQ(store_.leases.back().number, 9);
+    EXPECT_FALSE(subject_.is_held());
+    store_.leases.back().done(store::lease{.number = 9, .lifetime = clock::duration{15'000}},
+                              start);
+    EXPECT_TRUE(subject_.is_held());
+    EXPECT_TRUE(store_.commits.empty());
+}
+
+TEST_F(registration_test, registers_anew_when_the_old_lease_has_ended_meanwhile) {
+    subject_.adopt("value", 9);
+    subject_.tick(start);
+    store_.leases.back().done(result_code::lease_ended, start);
+    subject_.tick(start + clock::duration{500});
+    EXPECT_EQ(store_.leases.back().number, 0);
+}
+
+TEST_F(registration_test, leaves_an_old_entry_with_another_address_alone) {
+    // Guards against peers that go on talking to the address of the instance that was replaced.
+    subject_.adopt("another value", 9);
+    subject_.adopt("value", 0);
+    subject_.tick(start);
+    EXPECT_EQ(store_.leases.back().number, 0);
+}
+
 TEST_F(registration_test, registers_anew_when_the_lease_has_ended) {
     become_held();
     subject_.tick(start + clock::duration{5'000});
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -69,6 +69,30 @@
     EXPECT_EQ(known_.size(), 2U);
 }
 
+TEST_F(store_feed, the_first_read_may_be_old_and_confirms_nothing) {
+    // Guards against 600 instances that read everything at the full price when power is back.
+    feed_.tick(start);
+    EXPECT_EQ(store_.ranges.back().freshness, store::read_freshness::seconds_old);
+    answer_read({written("a", 3)}, 3, start);
+    EXPECT_TRUE(feed_.is_complete());
+    EXPECT_EQ(feed_.confirmed_at(), clock::time_point{});
+    feed_.read_anew(start);
+    EXPECT_EQ(store_.ranges.back().freshness, store::read_freshness::newest);
+    answer_read({written("a", 3)}, 3, start);
+    EXPECT_EQ(feed_.confirmed_at(), start);
+}
+
+TEST_F(store_feed, a_read_counts_from_its_oldest_page) {
+    // Guards against a change that is missing for good: a later page was older than the first.
+    feed_.tick(start);
+    store_.ranges[0].done(store::page{.items = {written("a", 3)}, .has_more = true, .revision = 9},
+                          start);
+    store_.ranges[1].done(store::page{.items = {written("b", 4)}, .has_more = false, .revision = 6},
+                          start);
+    feed_.tick(start);
+    EXPECT_EQ(store_.watches.back().revision, 6);
+}
+
 TEST_F(store_feed, asks_a_second_time_when_the_first_read_is_late) {
     // At the start the answer of the first read is lost, and nothing can be routed before there is
     // one. Waiting for the whole limit would add a second to the dark time.
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -16,6 +16,7 @@
     };
     struct range_call {
         std::string after_key;
+        store::read_freshness freshness = store::read_freshness::newest;
         store::callback<store::page> done;
     };
     struct watch_call {
@@ -42,9 +43,11 @@
              store::callback<store::found_item> done) override {
         gets.push_back({.key = std::string{key}, .done = std::move(done)});
     }
-    void range(std::string_view /*prefix*/, std::string_view after_key, clock::duration /*limit*/,
+    void range(std::string_view /*prefix*/, std::string_view after_key,
+               store::read_freshness freshness, clock::duration /*limit*/,
                store::callback<store::page> done) override {
-        ranges.push_back({.after_key = std::string{after_key}, .done = std::move(done)});
+        ranges.push_back(
+            {.after_key = std::string{after_key}, .freshness = freshness, .done = std::move(done)});
     }
     void watch(std::string_view /*prefix*/, std::int64_t revision, clock::duration /*wait*/,
                clock::duration /*limit*/, store::callback<store::news> done) override {
