Steering: Look at a sample of a large service, and keep its sums for a moment

Cause: an opening looked at every target of its service, found each in three maps and sorted a zone by rendezvous scores. At 57 openings a second that alone passed what an instance has for control when there are 4,700 targets.

Change: an opening looks at 16 targets of its own zone, 16 of its region and 8 of the rest, drawn by the flow's hash, all when there are fewer, so small fleets decide as before. What is asked of the whole service is summed up by zone and kept for a millisecond for each 50 targets; own openings count at once. Cold targets are left out of the sums. `load_picture` holds both; `pool::by_zone` lists the targets.

Ruled out: sums kept up to date by each event: what a target counts for is clipped over own and peers' requests together, and their word changes as a whole every 50 ms.

--- /dev/null
+++ b/benchmarks/steering_benchmark.cpp
@@ -0,0 +1,163 @@
+// What the token's path costs an instance: openings, later packets, digests and ticks, for fleets
+// of several sizes. Arguments are targets and instances.
+#include <benchmark/benchmark.h>
+
+#include <memory>
+#include <string>
+
+#include "fleet/peer_digests.h"
+#include "observability/steering_metrics.h"
+#include "steering/steering.h"
+
+namespace bramleytrack {
+namespace {
+
+constexpr clock::time_point start = to_time_point(1'000'000);
+constexpr int zones = 5;
+constexpr int openings_by_millisecond = 1;
+
+class no_log final : public event_log {
+public:
+    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
+    void write(const log_event& /*event*/) override {}
+};
+
+std::string zone_name(int number) {
+    return "zone-" + std::to_string(number % zones);
+}
+
+// One instance of a fleet, with its peers' digests.
+class fleet_member {
+public:
+    fleet_member(std::int64_t targets, std::int64_t instances) {
+        discovery::catalogue text;
+        text.version = 1;
+        auto& route = text.routes.emplace_back();
+        route.name = "feed";
+        route.address = {.address = 9, .port = 443};
+        route.splits = {{.service = "board", .weight = 1}};
+        text.services.push_back({.name = "board"});
+        known_.apply(text, 1, false, start);
+        for (int i = 0; i < targets; ++i) {
+            discovery::target_entry entry;
+            entry.id = "i-" + std::to_string(i);
+            entry.service = "board";
+            entry.zone = zone_name(i);
+            entry.slots = 1'000;
+            known_.apply(entry, i + 2, false, start);
+            tokens_.push_back(discovery::token_of(entry.id));
+        }
+        for (int i = 0; i < instances; ++i) {
+            known_.apply(
+                discovery::peer_entry{
+                    .name = name_of(i), .zone = zone_name(i), .address = "", .pull_address = ""},
+                i, false, start);
+        }
+        for (int i = 1; i < std::min<std::int64_t>(instances, 33); ++i) {
+            digests_->on_digest(name_of(i), digest(), start);
+        }
+    }
+
+    static std::string name_of(int number) { return "instance-" + std::to_string(number); }
+
+    wire::digest digest() {
+        wire::digest content;
+        for (int i = 0; i < 10; ++i) {
+            auto& report = content.loads.emplace_back();
+            report.token = static_cast<std::int32_t>(tokens_[next_++ % tokens_.size()]);
+            report.open_requests = 1;
+        }
+        return content;
+    }
+
+    void open(std::uint32_t number) {
+        const auto now = start + clock::duration{number / openings_by_millisecond};
+        steering::segment packet;
+        packet.flow = {.caller = {.address = number, .port = 1000},
+                       .route = {.address = 9, .port = 443}};
+        packet.sequence = number;
+        packet.is_opening = true;
+        benchmark::DoNotOptimize(
+            subject_.on_segment(packet, {.is_complete = true, .confirmed = now}, now));
+    }
+
+    void send(std::uint32_t number) {
+        steering::segment packet;
+        packet.flow = {.caller = {.address = number, .port = 1000},
+                       .route = {.address = 9, .port = 443}};
+        packet.token = tokens_[number % tokens_.size()];
+        packet.sequence = next_ += 40;
+        packet.length = 40;
+        benchmark::DoNotOptimize(
+            subject_.on_segment(packet, {.is_complete = true, .confirmed = start}, start));
+    }
+
+    void expire(clock::time_point now) {
+        subject_.expire(now);
+        known_.expire(now);
+    }
+    fleet::peer_digests& digests() { return *digests_; }
+
+private:
+    discovery::directory known_;
+    std::vector<discovery::routing_token> tokens_;
+    std::uint32_t next_ = 0;
+    steering::cold_gate cold_{"instance-0"};
+    std::unique_ptr<fleet::peer_digests> digests_ =
+        std::make_unique<fleet::peer_digests>(known_, "instance-0", zone_name(0), 1);
+    no_log log_;
+    observability::steering_metrics metrics_;
+    steering::steering subject_{
+        {.zone = zone_name(0), .regions = {}}, known_, cold_, *digests_, log_, metrics_};
+};
+
+void sizes(benchmark::internal::Benchmark* of) {
+    of->Args({18, 9})->Args({300, 200})->Args({1'200, 200})->Args({4'700, 610});
+}
+
+// One opening a millisecond: a small instance's part of 35,000 a second is a seventeenth of that.
+void opening(benchmark::State& state) {
+    fleet_member subject{state.range(0), state.range(1)};
+    std::uint32_t number = 0;
+    for (auto _ : state) {
+        subject.open(++number);
+    }
+}
+BENCHMARK(opening)->Apply(sizes)->Iterations(20'000);
+
+void later_packet(benchmark::State& state) {
+    fleet_member subject{state.range(0), state.range(1)};
+    std::uint32_t number = 0;
+    for (auto _ : state) {
+        subject.send(++number % 18'000);
+    }
+}
+BENCHMARK(later_packet)->Apply(sizes)->Iterations(200'000);
+
+void digest_from_a_peer(benchmark::State& state) {
+    fleet_member subject{state.range(0), state.range(1)};
+    const auto content = subject.digest();
+    int number = 0;
+    for (auto _ : state) {
+        subject.digests().on_digest(
+            fleet_member::name_of(1 + number++ % static_cast<int>(state.range(1) - 1)), content,
+            start);
+    }
+}
+BENCHMARK(digest_from_a_peer)->Apply(sizes)->Iterations(100'000);
+
+void tick(benchmark::State& state) {
+    fleet_member subject{state.range(0), state.range(1)};
+    for (std::uint32_t i = 0; i < 18'000; ++i) {
+        subject.send(i);
+    }
+    auto now = start;
+    for (auto _ : state) {
+        now += clock::duration{1};
+        subject.expire(now);
+    }
+}
+BENCHMARK(tick)->Apply(sizes)->Iterations(2'000);
+
+}  // namespace
+}  // namespace bramleytrack
--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -252,6 +252,7 @@
         const auto found = pools_.find(known->entry.service);
         if (found != pools_.end() && known->gone != absence::left) {
             found->second.targets.push_back(known.get());
+            found->second.by_zone[known->entry.zone].push_back(known.get());
         }
     }
 }
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -25,6 +25,7 @@
     service description;
     int most_urgent = 0;           // priority of the most urgent route that leads here
     std::vector<target*> targets;  // listed, or vanished not long ago; in the order of their ids
+    std::map<std::string, std::vector<target*>, std::less<>> by_zone;  // the same
 };
 
 // A fellow instance, and since when it is registered as far as this instance knows.
--- a/libraries/steering/admission.h
+++ b/libraries/steering/admission.h
@@ -41,8 +41,10 @@
     // may take.
     void add(const target_use& target);
 
-    // Other targets of the same service, which count after all.
+    // Other targets of the same service.
     void add(const service_use& others);
+    // Flows that this instance has placed since the others were counted.
+    void add_placed(double flows) { here_ += flows; }
 
     double slots() const { return slots_; }
     double open_here() const { return here_; }
--- /dev/null
+++ b/libraries/steering/load_picture.cpp
@@ -0,0 +1,85 @@
+#include "steering/load_picture.h"
+
+#include <algorithm>
+
+namespace bramleytrack::steering {
+namespace {
+
+// A target takes about 0.2 us to add: with so many to a millisecond for which sums are kept, they
+// take a hundredth of the processor at most. Sums of small services are always new.
+constexpr std::size_t targets_by_millisecond = 50;
+
+}  // namespace
+
+bool load_picture::may_take_flows(const discovery::target& target, clock::time_point now) const {
+    return target.takes_flows(now) && !known_.is_zone_out(target.entry.zone);
+}
+
+target_use load_picture::use_of(const discovery::target& target, clock::time_point now) const {
+    return {.slots = std::max(1, target.entry.slots),
+            .here = static_cast<double>(flows_.signs(target.token).open_requests),
+            .elsewhere = loads_.open_elsewhere(target.token, now)};
+}
+
+bool load_picture::is_shunned(const discovery::target& target, clock::time_point now) const {
+    const auto& signs = flows_.signs(target.token);
+    return now < std::max({signs.shunned_until, signs.said_dead_until, signs.dead_until});
+}
+
+service_use load_picture::use_of(const discovery::pool& pool, const service_wants& wants,
+                                 const zone_filter& is_allowed, clock::time_point now) {
+    const auto& sum = sum_of(pool, now);
+    service_use result{wants};
+    service_use shunned;
+    std::size_t targets = 0;
+    std::size_t shunned_targets = 0;
+    for (const auto& [zone, each] : sum.zones) {
+        if (!is_allowed(zone)) {
+            continue;
+        }
+        result.add(each.taking);
+        shunned.add(each.shunned);
+        targets += each.targets;
+        shunned_targets += each.shunned_targets;
+    }
+    if (2 * shunned_targets > targets) {
+        result.add(shunned);
+    }
+    result.add_placed(sum.placed_since);
+    return result;
+}
+
+void load_picture::note_placed(std::string_view service) {
+    const auto found = sums_.find(service);
+    if (found != sums_.end()) {
+        ++found->second.placed_since;
+    }
+}
+
+const load_picture::service_sum& load_picture::sum_of(const discovery::pool& pool,
+                                                      clock::time_point now) {
+    auto& sum = sums_[pool.description.name];
+    if (now < sum.until) {
+        return sum;
+    }
+    const auto kept_for = pool.targets.size() / targets_by_millisecond;
+    sum = {.zones = {}, .placed_since = 0, .until = now + clock::duration{kept_for}};
+    for (const auto& [zone, targets] : pool.by_zone) {
+        if (known_.is_zone_out(zone)) {
+            continue;
+        }
+        auto& made = sum.zones[zone];
+        for (const auto* each : targets) {
+            if (!each->takes_flows(now) || each->is_cold(now)) {
+                continue;
+            }
+            const bool is_left_alone = is_shunned(*each, now);
+            (is_left_alone ? made.shunned : made.taking).add(use_of(*each, now));
+            ++made.targets;
+            made.shunned_targets += is_left_alone ? 1 : 0;
+        }
+    }
+    return sum;
+}
+
+}  // namespace bramleytrack::steering
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -1,9 +1,12 @@
 #include "steering/steering.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
+#include <span>
 
 #include "base/hash.h"
+#include "steering/target_sample.h"
 
 namespace bramleytrack::steering {
 namespace {
@@ -47,6 +50,7 @@
       known_{known},
       cold_{cold},
       loads_{loads},
+      picture_{known, flows_, loads},
       log_{log, known, flows_, place_.zone},
       observer_{observer},
       limits_{limits} {}
@@ -105,7 +109,7 @@
         demands_[pool->description.name].on_asked(now);
     }
     if (pool != nullptr) {
-        targets = eligible(*pool, *route, content.flow, now);
+        targets = eligible(*pool, *route, content, now);
     }
     const auto choice = choose(targets.candidates, flow_hash, content.copy);
     if (const auto* none = std::get_if<no_choice>(&choice)) {
@@ -114,6 +118,7 @@
     const auto& target = *targets.candidates[std::get<std::size_t>(choice)].subject;
     cold_.note_opened(target, now);
     flows_.note_opening(content, target.token, now);
+    picture_.note_placed(target.entry.service);
     return finish(forward{&target});
 }
 
@@ -126,7 +131,7 @@
     const auto token = content.copy > 0 ? flows_.just_opened_on(content, now) : std::nullopt;
     const auto* target = token.has_value() ? known_.find_target(*token) : nullptr;
     const bool may_take_it =
-        target != nullptr && may_take_flows(*target, now) && !target->is_cold(now);
+        target != nullptr && picture_.may_take_flows(*target, now) && !target->is_cold(now);
     return may_take_it ? target : nullptr;
 }
 
@@ -281,33 +286,11 @@
             .elsewhere = loads_.wanted_elsewhere(service, now)};
 }
 
-bool steering::may_take_flows(const discovery::target& target, clock::time_point now) const {
-    return target.takes_flows(now) && !known_.is_zone_out(target.entry.zone);
-}
-
-target_use steering::use_of(const discovery::target& target, clock::time_point now) const {
-    return {.slots = std::max(1, target.entry.slots),
-            .here = static_cast<double>(flows_.signs(target.token).open_requests),
-            .elsewhere = loads_.open_elsewhere(target.token, now)};
-}
-
-bool steering::is_shunned(const discovery::target& target, clock::time_point now) const {
-    const auto& signs = flows_.signs(target.token);
-    return now < std::max({signs.shunned_until, signs.said_dead_until, signs.dead_until});
-}
-
-service_use steering::use_of(std::string_view service, clock::time_point now) const {
-    service_use result{wants_of(service, now)};
+service_use steering::use_of(std::string_view service, clock::time_point now) {
+    const auto wants = wants_of(service, now);
     const auto* pool = known_.find_pool(service);
-    if (pool == nullptr) {
-        return result;
-    }
-    for (const auto* each : pool->targets) {
-        if (may_take_flows(*each, now) && !is_shunned(*each, now)) {
-            result.add(use_of(*each, now));
-        }
-    }
-    return result;
+    constexpr auto anywhere = [](std::string_view /*zone*/) { return true; };
+    return pool == nullptr ? service_use{wants} : picture_.use_of(*pool, wants, anywhere, now);
 }
 
 std::string_view steering::region_of(std::string_view zone) const {
@@ -331,15 +314,38 @@
     return share;
 }
 
+std::vector<const discovery::target*> steering::looked_at(const discovery::pool& pool,
+                                                          const discovery::route& route,
+                                                          std::uint64_t flow_hash) const {
+    enum tier : std::size_t { near, in_region, far, tiers };
+    constexpr std::array<std::size_t, tiers> samples{near_sample, region_sample, far_sample};
+    std::array<std::vector<std::span<discovery::target* const>>, tiers> lists;
+    for (const auto& [zone, targets] : pool.by_zone) {
+        if (!is_allowed(route, zone) || known_.is_zone_out(zone)) {
+            continue;
+        }
+        const bool is_home = region_of(zone) == region_of(place_.zone);
+        lists.at(zone == place_.zone ? near : is_home ? in_region : far).emplace_back(targets);
+    }
+    std::vector<const discovery::target*> result;
+    for (std::size_t each = near; each < tiers; ++each) {
+        const auto sample = sample_of(lists.at(each), flow_hash, samples.at(each));
+        result.insert(result.end(), sample.begin(), sample.end());
+    }
+    return result;
+}
+
 steering::eligible_targets steering::eligible(const discovery::pool& pool,
-                                              const discovery::route& route, const flow_key& flow,
+                                              const discovery::route& route, const segment& content,
                                               clock::time_point now) {
-    const double share = share_of_room(pool, route, flow);
+    const double share = share_of_room(pool, route, content.flow);
     eligible_targets result;
-    result.use = service_use{wants_of(pool.description.name, now)};
-    service_use shunned;
-    for (const auto* each : pool.targets) {
-        if (!may_take_flows(*each, now) || !is_allowed(route, each->entry.zone)) {
+    result.use = picture_.use_of(
+        pool, wants_of(pool.description.name, now),
+        [this, &route](std::string_view zone) { return is_allowed(route, zone); }, now);
+    const bool has_service_room = has_room(result.use, share);
+    for (const auto* each : looked_at(pool, route, hash_of_flow(content))) {
+        if (!each->takes_flows(now)) {
             continue;
         }
         const bool is_barred =
@@ -349,24 +355,16 @@
             result.is_any_cold = true;
             continue;
         }
-        const auto use = use_of(*each, now);
-        const bool is_left_alone = is_shunned(*each, now);
-        (is_left_alone ? shunned : result.use).add(use);
+        const auto use = picture_.use_of(*each, now);
         result.candidates.push_back(
             {.subject = each,
              .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
              .is_near = each->entry.zone == place_.zone,
-             .is_shunned = is_left_alone,
-             .has_room = has_room(use, share),
+             .is_shunned = picture_.is_shunned(*each, now),
+             .has_room = has_service_room && has_room(use, share),
              .load = (use.here + use.elsewhere + 1) / use.slots,
              .answer_ms = flows_.signs(each->token).answer_ms});
     }
-    if (are_too_many_shunned(result.candidates)) {
-        result.use.add(shunned);
-    }
-    if (!has_room(result.use, share)) {
-        std::ranges::for_each(result.candidates, [](candidate& each) { each.has_room = false; });
-    }
     weigh_by_answer_time(result.candidates);
     return result;
 }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -21,6 +21,8 @@
 #include "steering/decision.h"
 #include "steering/decision_log.h"
 #include "steering/flow_watch.h"
+#include "steering/load_picture.h"
+#include "steering/load_view.h"
 #include "steering/placement.h"
 #include "steering/segment.h"
 #include "steering/service_demand.h"
@@ -42,20 +44,6 @@
     std::map<std::string, std::string, std::less<>> regions;  // by availability zone
 };
 
-// Load of targets as all instances together report it.
-class load_view {
-public:
-    load_view() = default;
-    load_view(const load_view&) = delete;
-    load_view& operator=(const load_view&) = delete;
-    virtual ~load_view() = default;
-
-    // Requests open on the target through other instances.
-    virtual double open_elsewhere(routing_token token, clock::time_point now) const = 0;
-    // What callers ask of the service through other instances.
-    virtual double wanted_elsewhere(std::string_view service, clock::time_point now) const = 0;
-};
-
 using demand_by_service = std::map<std::string, service_demand, std::less<>>;
 
 // Told of what the packets show, for the histograms.
@@ -96,7 +84,7 @@
     const demand_by_service& demands() const { return demands_; }
     // What is asked of the service and its targets, for the metrics. Admission of one flow leaves
     // out what its route or a cold start bars, and may count shunned targets.
-    service_use use_of(std::string_view service, clock::time_point now) const;
+    service_use use_of(std::string_view service, clock::time_point now);
 
 private:
     decision on_opening(const segment& content, const belief& state, clock::time_point now);
@@ -121,13 +109,13 @@
     double share_of_room(const discovery::pool& pool, const discovery::route& route,
                          const flow_key& flow) const;
     eligible_targets eligible(const discovery::pool& pool, const discovery::route& route,
-                              const flow_key& flow, clock::time_point now);
+                              const segment& content, clock::time_point now);
+    // The targets that an opening looks at, those of the own zone first.
+    std::vector<const discovery::target*> looked_at(const discovery::pool& pool,
+                                                    const discovery::route& route,
+                                                    std::uint64_t flow_hash) const;
     std::string_view region_of(std::string_view zone) const;
     bool is_allowed(const discovery::route& route, std::string_view zone) const;
-    // It is there, and operators haven't taken its zone out.
-    bool may_take_flows(const discovery::target& target, clock::time_point now) const;
-    target_use use_of(const discovery::target& target, clock::time_point now) const;
-    bool is_shunned(const discovery::target& target, clock::time_point now) const;
     service_wants wants_of(std::string_view service, clock::time_point now) const;
 
     place place_;
@@ -135,6 +123,7 @@
     cold_gate& cold_;
     const load_view& loads_;
     flow_watch flows_;
+    load_picture picture_;
     demand_by_service demands_;  // of services of the catalogue
     std::vector<reset> resets_;
     std::vector<routing_token> suspects_;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -376,7 +376,7 @@
     report_ignored_keys();
 }
 
-std::string steering_daemon::render_metrics() const {
+std::string steering_daemon::render_metrics() {
     const auto now = clock::now();
     std::vector<observability::service_gauges> services;
     for (const auto& [service, demand] : steering_.demands()) {
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -67,7 +67,7 @@
     void end_when_quiet(clock::time_point now);
     std::size_t others_in_rotation(clock::time_point now) const;
     steering::belief belief() const;
-    std::string render_metrics() const;
+    std::string render_metrics();
 
     settings::steering_settings settings_;
     std::string settings_text_;
@@ -75,7 +75,7 @@
     platform_parts parts_;
     ev::loop_ref loop_;
     observability::budgeted_log log_;
-    mutable observability::steering_metrics metrics_;
+    observability::steering_metrics metrics_;
     store::mirror mirror_;
     discovery::directory directory_;
     steering::cold_gate cold_;
