Store: Let watchers of a large fleet pause in turn

Cause: an instance watches when it ranks highest among the peers that it hears, and in a fleet of 195 it hears some 32, so about six watch. Each change answers all six, 200 ms later the next one does: they cost six times what one does.

Change: each pauses after news for 200 ms times the number of watchers to be expected, a second at most.

Ruled out: one watcher for the whole fleet, whose name spreads with digests: its death or a deaf watch would leave all instances without word at the same moment, and each would read the store itself.

Tests: store_feed.several_watchers_together_..., fleet_sources.expects_as_many_watchers_...

--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -32,6 +32,13 @@
     return better < limits_.watchers;
 }
 
+std::size_t sources::expected_watchers(clock::time_point now) const {
+    const auto heard = std::ranges::count_if(digests_.heard(), [this, now](const auto& each) {
+        return digests_.is_fresh(each.second, now);
+    });
+    return std::max<std::size_t>(1, known_.peers().size() / static_cast<std::size_t>(heard + 1));
+}
+
 std::optional<pull> sources::wanted_pull(std::int64_t revision, bool is_watching,
                                          clock::time_point now) {
     const discovery::peer_entry* from = nullptr;
--- a/libraries/fleet/sources.h
+++ b/libraries/fleet/sources.h
@@ -57,7 +57,12 @@
     // Whether this instance's own watch is wanted now.
     bool should_watch(const store::feed& own, clock::time_point now) const;
 
-    // The peer to fetch from when one knows more than `revision`. Called at each tick.
+    // How many instances rank highest among the peers that they hear, each hearing as many as this
+    // one.
+    std::size_t expected_watchers(clock::time_point now) const;
+
+    // The peer to fetch from when one knows more than `revision`. `is_watching` says that a watch
+    // is open here. Called at each tick.
     std::optional<pull> wanted_pull(std::int64_t revision, bool is_watching, clock::time_point now);
 
     // When what this instance holds was last known to be all there is.
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -137,7 +137,10 @@
     publish(changes, now);
     const bool is_early = part->events.empty() && (now - sent) * 2 < limits_.watch_wait;
     const auto pause_if_empty = is_early ? limits_.after_early_answer : clock::duration{0};
-    next_start_ = now + (part->events.empty() ? pause_if_empty : limits_.pause_after_news);
+    const auto pause_after_news =
+        std::min(limits_.longest_pause_after_news,
+                 limits_.pause_after_news * static_cast<std::int64_t>(watchers_));
+    next_start_ = now + (part->events.empty() ? pause_if_empty : pause_after_news);
 }
 
 void feed::succeed(clock::time_point now) {
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -9,6 +9,7 @@
 // own, each failure is followed by a retry within a second, and after any doubt all is read anew.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <random>
@@ -33,6 +34,8 @@
     // Changes come in groups (a release, a start of the fleet); each answer of a watch is a priced
     // call.
     clock::duration pause_after_news{200};
+    // However many instances watch: half of the time that a change has to be in force everywhere.
+    clock::duration longest_pause_after_news{1'000};
     // Failure: a store that can't watch answers each one at once, without news, and the next would
     // follow at once. Two reads a second keep the word on everything young enough.
     clock::duration after_early_answer{500};
@@ -59,6 +62,11 @@
     // Whether new watches begin: an instance that hears from a peer what the store holds needs
     // none.
     void set_wanted(bool is_wanted) { is_wanted_ = is_wanted; }
+    // How many instances are likely to watch. Each pauses for so much longer after news: together
+    // they cost what one does, and one of them hears of a change as soon as that one would.
+    void set_watchers(std::size_t number) { watchers_ = std::max<std::size_t>(number, 1); }
+    // Whether it waits until it watches again, and had better ask a peer for news meanwhile.
+    bool is_pausing() const { return is_complete_ && phase_ == phase::idle; }
     // Something suggests that the watch is deaf: reads everything now.
     void read_anew(clock::time_point now);
 
@@ -111,6 +119,7 @@
     std::int64_t attempts_ = 0;
     std::int64_t calls_ = 0;
     int failures_ = 0;  // since the last answer
+    std::size_t watchers_ = 1;
     clock::time_point next_start_;
     clock::time_point read_started_;
     clock::time_point confirmed_at_;
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -186,6 +186,22 @@
     EXPECT_FALSE(sources_.is_isolated(feed_, start + clock::duration{60'000}));
 }
 
+TEST_F(fleet_sources, expects_as_many_watchers_as_the_fleet_is_larger_than_what_it_hears) {
+    EXPECT_EQ(sources_.expected_watchers(start), 1U);
+    for (int i = 0; i < 194; ++i) {
+        add_peer("peer-" + std::to_string(i));
+    }
+    for (int i = 0; i < 32; ++i) {
+        digests_.on_digest("peer-" + std::to_string(i), digest(5, 0), start);
+    }
+    EXPECT_EQ(sources_.expected_watchers(start), 5U);
+    // In a small fleet all are heard, and one watches.
+    for (int i = 0; i < 194; ++i) {
+        digests_.on_digest("peer-" + std::to_string(i), digest(5, 0), start);
+    }
+    EXPECT_EQ(sources_.expected_watchers(start), 1U);
+}
+
 TEST_F(fleet_sources, in_a_large_fleet_a_few_watch) {
     // 610 instances; each hears 32 others within the freshness of a digest. If all watched, each
     // change would cost 610 calls, and if none did, nobody would learn of it.
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -158,6 +158,25 @@
     EXPECT_EQ(feed_.confirmed_at(), start + clock::duration{1'900});
 }
 
+TEST_F(store_feed, several_watchers_together_cost_what_one_does) {
+    // Guards against six instances of a large fleet whose watches are all answered by each change.
+    feed_.set_watchers(4);
+    become_watching(start);
+    store_.watches.back().done(store::news{.events = {written("b", 4)}, .revision = 4}, start);
+    EXPECT_TRUE(feed_.is_pausing());
+    feed_.tick(start + clock::duration{700});
+    EXPECT_EQ(store_.watches.size(), 1U);
+    feed_.tick(start + clock::duration{800});
+    EXPECT_EQ(store_.watches.size(), 2U);
+    EXPECT_FALSE(feed_.is_pausing());
+    // A change is never kept waiting for more than a second.
+    feed_.set_watchers(100);
+    store_.watches.back().done(store::news{.events = {written("c", 5)}, .revision = 5},
+                               start + clock::duration{900});
+    feed_.tick(start + clock::duration{1'900});
+    EXPECT_EQ(store_.watches.size(), 3U);
+}
+
 TEST_F(store_feed, changes_that_come_together_cost_one_call) {
     // A release changes a target each few milliseconds; a watch that begins anew at once is
     // answered for each of them.
