Fleet: Let the highest in rank ask a store that is down for all

Cause: once no word was younger than 2.5 s, each instance read the store itself, twice a second and more while it was down; refused calls are priced like others.

Change: an instance whose own call has just failed tries again after 3 s, unless it ranks highest among the peers that it hears; those go on without a pause, and the others hear from them that the store is back.

Ruled out: a longer pause for all: a cut instance that hears nobody would be late.

--- a/libraries/fleet/sources.cpp
+++ b/libraries/fleet/sources.cpp
@@ -17,11 +17,11 @@
     if (!stays_behind && now - informed_at_ < limits_.patience_of_newcomer) {
         return false;
     }
-    if (stays_behind || now - confirmed_at(own, 0) > limits_.longest_without_word) {
-        return true;
-    }
     const bool was_refused =
         own.failed_at() != clock::time_point{} && now - own.failed_at() < limits_.retry_after_loss;
+    if (stays_behind || now - confirmed_at(own, 0) > limits_.longest_without_word) {
+        return !was_refused || ranks_highest(now);
+    }
     const auto own_rank = hash_of(self_);
     std::size_t better = 0;
     for (const auto& [name, digest] : digests_.heard()) {
@@ -32,6 +32,15 @@
     return better < limits_.watchers;
 }
 
+// Among the peers that it hears, whether the store answers them or not.
+bool sources::ranks_highest(clock::time_point now) const {
+    return std::ranges::none_of(digests_.heard(), [this, now](const auto& each) {
+        const auto& [name, digest] = each;
+        return digests_.is_fresh(digest, now) && !digest.content.is_stopping &&
+               hash_of(name) > hash_of(self_);
+    });
+}
+
 std::size_t sources::expected_watchers(clock::time_point now) const {
     const auto heard = std::ranges::count_if(digests_.heard(), [this, now](const auto& each) {
         return digests_.is_fresh(each.second, now);
--- a/libraries/fleet/sources.h
+++ b/libraries/fleet/sources.h
@@ -7,6 +7,10 @@
 // is deaf; this instance is cut off from the watchers, or from the store alone. Peers that aren't
 // heard don't count, so whoever is cut off from the watchers begins to watch within
 // digest_limits::freshness.
+//
+// While the store is away, or a zone is cut off from it, nobody has word. Each tries by itself
+// then, and those that rank highest go on trying without a pause; the others hear from them that it
+// is back. Without that, hundreds of instances ask a store that is down, twice a second each.
 #pragma once
 
 #include <optional>
@@ -79,6 +83,8 @@
     bool is_isolated(const store::feed& own, clock::time_point now) const;
 
 private:
+    bool ranks_highest(clock::time_point now) const;
+
     const discovery::directory& known_;
     const peer_digests& digests_;
     std::string self_;
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -128,10 +128,12 @@
 void peer_exchange::on_datagram(std::span<const std::uint8_t> datagram) {
     auto decoded = wire::decode_peer_message(datagram, key_);
     auto* told = std::get_if<wire::peer_message>(&decoded);
-    const auto now = clock::now();
     if (told == nullptr) {
         ++rejected_;
-    } else if (told->__isset.fleet_digest) {
+        return;
+    }
+    const auto now = clock::now();
+    if (told->__isset.fleet_digest) {
         on_digest_of(told->sender, std::move(told->fleet_digest), now);
     } else if (told->__isset.reach_asked) {
         question_(told->sender, static_cast<discovery::routing_token>(told->reach_asked.token),
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -186,6 +186,27 @@
     EXPECT_FALSE(sources_.is_isolated(feed_, start + clock::duration{60'000}));
 }
 
+TEST_F(fleet_sources, in_an_outage_the_highest_in_rank_goes_on_asking_for_all) {
+    // Guards against hundreds of instances that ask a store that is down, twice a second each.
+    const auto lose_store = [this](clock::time_point now) {
+        feed_.read_anew(now);
+        store_.ranges.back().done(result_code::store_unavailable, now);
+    };
+    const auto later = start + clock::duration{4'000};
+    lose_store(later);
+    auto content = digest(5, 4'000);
+    content.has_lost_store = true;
+    const auto other = watcher();
+    digests_.on_digest(other, content, later);
+    EXPECT_FALSE(sources_.should_watch(feed_, later + clock::duration{100}));
+    // The other one may be wrong, or gone: it tries again, and so does whoever hears nobody.
+    digests_.on_digest(other, content, later + clock::duration{3'000});
+    EXPECT_TRUE(sources_.should_watch(feed_, later + clock::duration{3'000}));
+    lose_store(later + clock::duration{3'000});
+    EXPECT_FALSE(sources_.should_watch(feed_, later + clock::duration{3'100}));
+    EXPECT_TRUE(sources_.should_watch(feed_, later + clock::duration{4'400}));
+}
+
 TEST_F(fleet_sources, expects_as_many_watchers_as_the_fleet_is_larger_than_what_it_hears) {
     EXPECT_EQ(sources_.expected_watchers(start), 1U);
     for (int i = 0; i < 194; ++i) {
--- a/tests/fleet_target_inquiry_test.cpp
+++ b/tests/fleet_target_inquiry_test.cpp
@@ -21,6 +21,8 @@
 // Instances with what they know and found, and the messages between them, which take no time.
 class fleet_target_inquiry : public ::testing::Test {
 protected:
+    static inline const routing_token token_of_target = discovery::token_of("i-1");
+
     struct instance final : fleet::inquiry_actions {
         instance(fleet_target_inquiry& owner, const std::string& own_name,
                  const std::string& own_zone)
@@ -163,7 +165,6 @@
     std::set<std::string> gone_;  // they answer nobody
     std::function<bool(const instance&)> can_reach_ = [](const instance&) { return false; };
     clock::time_point now_ = start;
-    const routing_token token_ = discovery::token_of("i-1");
 };
 
 TEST_F(fleet_target_inquiry, ends_flows_of_a_dead_target_of_which_each_instance_has_one) {
@@ -172,7 +173,7 @@
     for (int i = 0; i < 6; ++i) {
         instances_[static_cast<std::size_t>(i) * 6]->has_flows = true;
     }
-    instances_[0]->inquiries.suspect(token_, now_);
+    instances_[0]->inquiries.suspect(token_of_target, now_);
     settle();
     EXPECT_TRUE(instances_[0]->has_ended_flows);
     EXPECT_LE(now_ - start, clock::duration{150});
@@ -190,7 +191,7 @@
     add_instances(9, "north");
     can_reach_ = [](const instance& from) { return from.name != "north-0"; };
     instances_[0]->has_flows = true;
-    instances_[0]->inquiries.suspect(token_, now_);
+    instances_[0]->inquiries.suspect(token_of_target, now_);
     settle();
     EXPECT_EQ(count(&instance::has_ended_flows), 0);
     EXPECT_TRUE(instances_[0]->inquiries.take_verdicts(now_).empty());
@@ -202,14 +203,14 @@
     add_instances(8, "north");
     can_reach_ = [](const instance& from) { return from.name >= "north-4"; };
     instances_[6]->has_flows = true;
-    instances_[6]->inquiries.on_said_dead("north-0", {.token = token_}, true, now_);
+    instances_[6]->inquiries.on_said_dead("north-0", {.token = token_of_target}, true, now_);
     EXPECT_TRUE(instances_[6]->is_shunning);
     settle();
     EXPECT_FALSE(instances_[6]->has_ended_flows);
     EXPECT_FALSE(instances_[6]->is_shunning);
     // Nor does it pass the word on, or take it from the next peer that tells it.
     EXPECT_TRUE(instances_[6]->inquiries.take_verdicts(now_).empty());
-    instances_[6]->inquiries.on_said_dead("north-1", {.token = token_}, true, now_);
+    instances_[6]->inquiries.on_said_dead("north-1", {.token = token_of_target}, true, now_);
     EXPECT_FALSE(instances_[6]->is_shunning);
 }
 
@@ -217,7 +218,7 @@
     // Guards against two zones that a cut has parted and that find each other's targets dead.
     add_instances(3, "north");
     add_instances(3, "south");
-    named("north-0").inquiries.on_said_dead("south-0", {.token = token_}, true, now_);
+    named("north-0").inquiries.on_said_dead("south-0", {.token = token_of_target}, true, now_);
     settle();
     EXPECT_EQ(count(&instance::is_shunning), 0);
     EXPECT_EQ(all_probes(), 0);
@@ -227,7 +228,7 @@
     add_instances(5, "south");
     add_instances(5, "north");
     can_reach_ = [](const instance& from) { return from.zone == "south"; };
-    named("north-2").inquiries.suspect(token_, now_);
+    named("north-2").inquiries.suspect(token_of_target, now_);
     settle();
     EXPECT_TRUE(named("north-2").has_ended_flows);
 }
@@ -242,7 +243,7 @@
     int repeats = 0;
     while (!instances_[0]->has_ended_flows && repeats < 20) {
         ++repeats;
-        instances_[0]->inquiries.suspect(token_, now_);
+        instances_[0]->inquiries.suspect(token_of_target, now_);
         settle();
         advance(clock::duration{400});
         advance(clock::duration{600});
@@ -253,7 +254,7 @@
 TEST_F(fleet_target_inquiry, decides_nothing_without_peers) {
     // Guards against the only instance that is left, whose own link may be what is cut.
     add_instances(1, "north");
-    instances_[0]->inquiries.suspect(token_, now_);
+    instances_[0]->inquiries.suspect(token_of_target, now_);
     settle();
     EXPECT_FALSE(instances_[0]->has_ended_flows);
 }
@@ -263,12 +264,12 @@
     add_instances(4, "north");
     can_reach_ = [](const instance&) { return true; };
     for (int i = 0; i < 20; ++i) {
-        instances_[0]->inquiries.suspect(token_, now_);
+        instances_[0]->inquiries.suspect(token_of_target, now_);
         settle();
     }
     EXPECT_EQ(instances_[0]->probes, 1);
     for (int i = 1; i < 4; ++i) {
-        instances_[0]->inquiries.on_question("north-" + std::to_string(i), token_, now_);
+        instances_[0]->inquiries.on_question("north-" + std::to_string(i), token_of_target, now_);
     }
     EXPECT_EQ(all_probes(), 1);
 }
@@ -276,7 +277,7 @@
 TEST_F(fleet_target_inquiry, a_verdict_ends_with_its_lifetime_wherever_it_was_passed_on) {
     // Guards against word of a death that goes round among peers after the target is back.
     add_instances(6, "north");
-    instances_[0]->inquiries.suspect(token_, now_);
+    instances_[0]->inquiries.suspect(token_of_target, now_);
     settle();
     const auto found_at = now_;
     can_reach_ = [](const instance&) { return true; };
@@ -294,9 +295,9 @@
 
 TEST_F(fleet_target_inquiry, a_target_that_writes_to_the_store_is_alive) {
     add_instances(4, "north");
-    instances_[1]->inquiries.on_said_dead("north-0", {.token = token_}, false, now_);
+    instances_[1]->inquiries.on_said_dead("north-0", {.token = token_of_target}, false, now_);
     EXPECT_TRUE(instances_[1]->is_shunning);
-    instances_[1]->inquiries.on_entry(token_);
+    instances_[1]->inquiries.on_entry(token_of_target);
     EXPECT_FALSE(instances_[1]->is_shunning);
     EXPECT_TRUE(instances_[1]->inquiries.take_verdicts(now_).empty());
 }
--- a/tests/steering_large_service_test.cpp
+++ b/tests/steering_large_service_test.cpp
@@ -1,7 +1,8 @@
-// Steering: an opening of a service with thousands of targets looks at a few of them, and its bounds
-// hold all the same.
+// Steering: an opening of a service with thousands of targets looks at a few of them, and its
+// bounds hold all the same.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -24,12 +25,15 @@
     void write(const log_event& /*event*/) override {}
 };
 
+std::vector<discovery::target*> pointers_to(std::vector<discovery::target>& targets) {
+    std::vector<discovery::target*> result(targets.size());
+    std::ranges::transform(targets, result.begin(), [](auto& each) { return &each; });
+    return result;
+}
+
 TEST(target_sample, takes_all_of_a_short_list_and_no_target_twice_of_a_long_one) {
     std::vector<discovery::target> targets(100);
-    std::vector<discovery::target*> all;
-    for (auto& each : targets) {
-        all.push_back(&each);
-    }
+    const auto all = pointers_to(targets);
     const std::vector<target_list> lists{target_list{all}.subspan(0, 30),
                                          target_list{all}.subspan(30)};
     EXPECT_EQ(sample_of(lists, 7, 100).size(), 100U);
@@ -44,10 +48,7 @@
     constexpr int flows = 10'000;
     constexpr int expected = flows * 16 / 100;
     std::vector<discovery::target> targets(100);
-    std::vector<discovery::target*> all;
-    for (auto& each : targets) {
-        all.push_back(&each);
-    }
+    const auto all = pointers_to(targets);
     const std::vector<target_list> lists{all};
     std::map<const discovery::target*, int> taken;
     for (std::uint64_t flow = 0; flow < flows; ++flow) {
