Bramleyd: Count probes and dead targets, and say -1 for never confirmed

Cause: after a cheap first read nothing is confirmed yet, and the line ready said confirmed_ms_ago=, the time since the epoch. Probes and what they found were counted and shown nowhere.

Change: -1 as elsewhere; two gauges.

--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -33,6 +33,8 @@
     std::int64_t malformed_datagrams = 0;
     std::int64_t rejected_peer_messages = 0;
     std::int64_t dropped_sends = 0;
+    std::int64_t target_probes = 0;
+    std::int64_t targets_found_dead = 0;
     bool is_store_reachable = false;
     bool is_ready = false;
 };
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -314,7 +314,11 @@
     log_.write(log_event{is_ready ? "ready" : "not_ready"}
                    .with("version", directory_.in_force().version)
                    .with("targets", static_cast<std::int64_t>(directory_.target_count()))
-                   .with("confirmed_ms_ago", (now - confirmed_at_).count()));
+                   .with("confirmed_ms_ago", confirmed_milliseconds_ago(now)));
+}
+
+std::int64_t steering_daemon::confirmed_milliseconds_ago(clock::time_point now) const {
+    return confirmed_at_ == clock::time_point{} ? -1 : (now - confirmed_at_).count();
 }
 
 void steering_daemon::on_terminate(ev::sig& /*watcher*/, int /*events*/) {
@@ -390,10 +394,9 @@
                             .wanted_here = use.wants().here,
                             .wanted_elsewhere = use.wants().elsewhere});
     }
-    const bool is_confirmed = confirmed_at_ != clock::time_point{};
     return metrics_.render({.catalogue_version = directory_.in_force().version,
                             .known_revision = mirror_.revision(),
-                            .confirmed_ms_ago = is_confirmed ? (now - confirmed_at_).count() : -1,
+                            .confirmed_ms_ago = confirmed_milliseconds_ago(now),
                             .targets = static_cast<std::int64_t>(directory_.target_count()),
                             .zones_out = static_cast<std::int64_t>(directory_.zones_out().size()),
                             .peers = static_cast<std::int64_t>(directory_.peers().size()),
@@ -403,6 +406,8 @@
                             .malformed_datagrams = malformed_,
                             .rejected_peer_messages = exchange_.rejected(),
                             .dropped_sends = packets_.dropped_sends(),
+                            .target_probes = checks_.probes(),
+                            .targets_found_dead = checks_.found_dead(),
                             .is_store_reachable = feed_.is_reachable(),
                             .is_ready = is_ready_},
                            services);
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -67,6 +67,7 @@
     void end_when_quiet(clock::time_point now);
     std::size_t others_in_rotation(clock::time_point now) const;
     steering::belief belief() const;
+    std::int64_t confirmed_milliseconds_ago(clock::time_point now) const;  // -1: never
     std::string render_metrics();
 
     settings::steering_settings settings_;
--- a/services/bramleyd/target_checks.h
+++ b/services/bramleyd/target_checks.h
@@ -32,7 +32,7 @@
     void on_entry(std::string_view target_id);
     void expire(clock::time_point now) { inquiries_.expire(now); }
 
-    std::int64_t begun() const { return begun_; }
+    std::int64_t probes() const { return probes_begun_; }
     std::int64_t found_dead() const { return found_dead_; }
 
 private:
@@ -55,7 +55,7 @@
     fleet::target_inquiries inquiries_;
     net::reach_probes probes_;
     std::function<void()> flows_ended_;
-    std::int64_t begun_ = 0;
+    std::int64_t probes_begun_ = 0;
     std::int64_t found_dead_ = 0;
 };
 
