Fleet: Give probes of targets a budget

Cause: under overload all targets answer late, each repetition makes one suspect, and 64 inquiries at a time, each remembered for a second, let an instance connect to 64 targets a second.

Change: 64 probes at once and 10 a second after that. `base/rate_budget` is the budget that stood in the cold gate and in the log by itself.

Tests: fleet_target_inquiry.probes_few_targets_a_second_when_all_answer_late.

--- a/libraries/fleet/target_inquiry.cpp
+++ b/libraries/fleet/target_inquiry.cpp
@@ -21,7 +21,8 @@
       self_{std::move(self)},
       zone_{std::move(zone)},
       actions_{actions},
-      limits_{limits} {}
+      limits_{limits},
+      probes_{limits.probes_at_once} {}
 
 void target_inquiries::suspect(discovery::routing_token token, clock::time_point now) {
     const auto* target = known_.find_target(token);
@@ -30,11 +31,10 @@
     }
     const auto found = inquiries_.find(token);
     if (found == inquiries_.end()) {
-        if (inquiries_.size() >= limits_.max_inquiries) {
-            return;
+        if (auto* begun = begin(*target, now)) {
+            begun->is_suspected = true;
+            actions_.probe(*target);
         }
-        begin(*target, now).is_suspected = true;
-        actions_.probe(*target);
         return;
     }
     auto& subject = found->second;
@@ -102,11 +102,10 @@
     }
     const auto found = inquiries_.find(token);
     if (found == inquiries_.end()) {
-        if (inquiries_.size() >= limits_.max_inquiries) {
-            return;
+        if (auto* begun = begin(*target, now)) {
+            begun->askers.emplace_back(peer);
+            actions_.probe(*target);
         }
-        begin(*target, now).askers.emplace_back(peer);
-        actions_.probe(*target);
     } else if (found->second.at == stage::probing) {
         found->second.askers.emplace_back(peer);
     } else {
@@ -187,12 +186,16 @@
     return result;
 }
 
-target_inquiries::inquiry& target_inquiries::begin(const discovery::target& target,
+target_inquiries::inquiry* target_inquiries::begin(const discovery::target& target,
                                                    clock::time_point now) {
+    if (probes_.refill(limits_.probes_per_second, now) < 1) {
+        return nullptr;
+    }
+    probes_.take(1);
     auto& subject = inquiries_[target.token];
     subject.since = now;
     subject.begun = now;
-    return subject;
+    return &subject;
 }
 
 void target_inquiries::conclude(inquiry& subject, clock::time_point now) {
--- a/libraries/fleet/target_inquiry.h
+++ b/libraries/fleet/target_inquiry.h
@@ -19,6 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/rate_budget.h"
 #include "discovery/directory.h"
 
 namespace bramleytrack::fleet {
@@ -31,10 +32,13 @@
     std::size_t least_confirmations = 2;
     // What a probe has found holds for so long; callers that repeat packets meanwhile start none.
     clock::duration finding_lifetime{1'000};
+    // Under overload all targets answer late, and each repetition makes one suspect. A zone of
+    // targets may go at once; beyond this budget the others wait for their callers' next
+    // repetition.
+    double probes_at_once = 64;
+    double probes_per_second = 10;
     // Targets that went leave the list within some two seconds.
     clock::duration verdict_lifetime{3'000};
-    // A zone of targets may go at once; the others wait for their callers' next repetition.
-    std::size_t max_inquiries = 64;
     std::size_t max_verdicts = 4'096;
     // Verdicts in one digest, those told least often first: 12 bytes each.
     std::size_t verdicts_in_digest = 16;
@@ -115,7 +119,8 @@
         bool is_refuted = false;  // the target was reached from here since
     };
 
-    inquiry& begin(const discovery::target& target, clock::time_point now);
+    // Nothing while there is no budget for a probe.
+    inquiry* begin(const discovery::target& target, clock::time_point now);
     void conclude(inquiry& subject, clock::time_point now);
     void ask_peers(discovery::routing_token token, inquiry& subject, clock::time_point now);
     void find_dead(discovery::routing_token token, inquiry& subject, clock::time_point now);
@@ -131,6 +136,7 @@
     std::string zone_;
     inquiry_actions& actions_;
     inquiry_limits limits_;
+    rate_budget probes_;
     std::unordered_map<discovery::routing_token, inquiry> inquiries_;
     std::unordered_map<discovery::routing_token, verdict> verdicts_;  // own ones and peers'
     bool has_news_ = false;
--- a/libraries/observability/log.cpp
+++ b/libraries/observability/log.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <climits>
 #include <memory>
 #include <string>
@@ -83,7 +84,6 @@
     kind_budget{.name = "belief", .lines_per_second = 40, .burst = 400},
     kind_budget{.name = "lifecycle", .lines_per_second = 20, .burst = 100}};
 
-constexpr double milliseconds_per_second = 1000.0;
 constexpr clock::duration report_interval{1'000};
 
 }  // namespace
@@ -109,22 +109,21 @@
     return current_sink() ? current_sink()->lost() : 0;
 }
 
+budgeted_log::budgeted_log() {
+    for (const auto& each : kind_budgets) {
+        budgets_.push_back({.lines = rate_budget{each.burst}, .suppressed = 0, .reported_at = {}});
+    }
+}
+
 bool budgeted_log::admits(log_kind kind, clock::time_point now) {
     const auto index = static_cast<std::size_t>(kind);
     const auto& allowed = kind_budgets.at(index);
     auto& current = budgets_.at(index);
-    const bool is_first = current.filled_at == clock::time_point{};
-    const auto elapsed =
-        static_cast<double>((now - current.filled_at).count()) / milliseconds_per_second;
-    current.tokens =
-        is_first ? allowed.burst
-                 : std::min(allowed.burst, current.tokens + elapsed * allowed.lines_per_second);
-    current.filled_at = now;
-    if (current.tokens < 1) {
+    if (current.lines.refill(allowed.lines_per_second, now) < 1) {
         ++current.suppressed;
         return false;
     }
-    current.tokens -= 1;
+    current.lines.take(1);
     if (current.suppressed > 0 && now - current.reported_at >= report_interval) {
         log_line(log_event{"lines_left_out"}
                      .with("kind", allowed.name)
--- a/libraries/observability/log.h
+++ b/libraries/observability/log.h
@@ -7,8 +7,10 @@
 #include <array>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "base/event_log.h"
+#include "base/rate_budget.h"
 
 namespace bramleytrack::observability {
 
@@ -30,18 +32,19 @@
 // A log of decisions with a rate for each kind.
 class budgeted_log final : public event_log {
 public:
+    budgeted_log();
+
     bool admits(log_kind kind, clock::time_point now) override;
     void write(const log_event& event) override;
 
 private:
     struct budget {
-        double tokens = 0;
-        clock::time_point filled_at;
+        rate_budget lines;
         std::int64_t suppressed = 0;
         clock::time_point reported_at;
     };
 
-    std::array<budget, log_kinds> budgets_;
+    std::vector<budget> budgets_;  // in the order of log_kind
 };
 
 }  // namespace bramleytrack::observability
--- a/libraries/steering/cold_gate.cpp
+++ b/libraries/steering/cold_gate.cpp
@@ -7,7 +7,6 @@
 namespace bramleytrack::steering {
 namespace {
 
-constexpr double milliseconds_per_second = 1000.0;
 // Longer than any target stays cold; its allowance is of no use afterwards.
 constexpr clock::duration allowance_lifetime{60'000};
 
@@ -37,15 +36,8 @@
     if (!is_settled || !is_owner(subject, known)) {
         return false;
     }
-    auto [entry, is_new] = allowances_.try_emplace(
-        subject.token, allowance{.tokens = limits_.burst, .filled_at = now});
-    auto& current = entry->second;
-    const auto elapsed =
-        static_cast<double>((now - current.filled_at).count()) / milliseconds_per_second;
-    current.tokens =
-        std::min(limits_.burst, current.tokens + elapsed * flows_per_second * limits_.share);
-    current.filled_at = now;
-    return current.tokens >= 1;
+    auto& allowance = allowances_.try_emplace(subject.token, limits_.burst).first->second;
+    return allowance.refill(flows_per_second * limits_.share, now) >= 1;
 }
 
 void cold_gate::note_opened(const discovery::target& subject, clock::time_point now) {
@@ -54,13 +46,13 @@
     }
     const auto found = allowances_.find(subject.token);
     if (found != allowances_.end()) {
-        found->second.tokens -= 1;
+        found->second.take(1);
     }
 }
 
 void cold_gate::expire(clock::time_point now) {
     std::erase_if(allowances_, [now](const auto& each) {
-        return now - each.second.filled_at > allowance_lifetime;
+        return now - each.second.filled_at() > allowance_lifetime;
     });
 }
 
--- a/libraries/steering/cold_gate.h
+++ b/libraries/steering/cold_gate.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "base/rate_budget.h"
 #include "discovery/directory.h"
 
 namespace bramleytrack::steering {
@@ -47,11 +48,6 @@
     void expire(clock::time_point now);
 
 private:
-    struct allowance {
-        double tokens = 0;
-        clock::time_point filled_at;
-    };
-
     bool is_owner(const discovery::target& subject, const discovery::directory& known) const;
 
     std::string self_;
@@ -59,7 +55,7 @@
     bool is_registered_ = false;
     bool is_isolated_ = false;
     clock::time_point registered_at_;
-    std::unordered_map<discovery::routing_token, allowance> allowances_;
+    std::unordered_map<discovery::routing_token, rate_budget> allowances_;
 };
 
 }  // namespace bramleytrack::steering
--- a/tests/fleet_target_inquiry_test.cpp
+++ b/tests/fleet_target_inquiry_test.cpp
@@ -274,6 +274,28 @@
     EXPECT_EQ(all_probes(), 1);
 }
 
+TEST_F(fleet_target_inquiry, probes_few_targets_a_second_when_all_answer_late) {
+    // Guards against a rush in which each instance connects to each slow target again and again.
+    constexpr int targets = 300;
+    add_instances(1, "north");
+    can_reach_ = [](const instance&) { return true; };
+    for (int i = 0; i < targets; ++i) {
+        discovery::target_entry entry;
+        entry.id = "slow-" + std::to_string(i);
+        known_.apply(entry, 10 + i, false, start);
+    }
+    for (int second = 0; second < 10; ++second) {
+        for (int i = 0; i < targets; ++i) {
+            const auto token = discovery::token_of("slow-" + std::to_string(i));
+            instances_[0]->inquiries.suspect(token, now_);
+        }
+        deliver();
+        advance(clock::duration{1'001});
+    }
+    EXPECT_LE(instances_[0]->probes, 64 + 10 * 10);
+    EXPECT_GE(instances_[0]->probes, 64);
+}
+
 TEST_F(fleet_target_inquiry, a_verdict_ends_with_its_lifetime_wherever_it_was_passed_on) {
     // Guards against word of a death that goes round among peers after the target is back.
     add_instances(6, "north");
