Tests: Share the log that keeps nothing and the text with one route

Cause: three new files for one steering core each had both.

Change: tests/support/steering_parts.h.

--- a/benchmarks/steering_benchmark.cpp
+++ b/benchmarks/steering_benchmark.cpp
@@ -8,6 +8,7 @@
 #include "fleet/peer_digests.h"
 #include "observability/steering_metrics.h"
 #include "steering/steering.h"
+#include "support/steering_parts.h"
 
 namespace bramleytrack {
 namespace {
@@ -15,12 +16,8 @@
 constexpr clock::time_point start = to_time_point(1'000'000);
 constexpr int zones = 5;
 constexpr int openings_by_millisecond = 1;
-
-class no_log final : public event_log {
-public:
-    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
-    void write(const log_event& /*event*/) override {}
-};
+// No bound is reached while a benchmark runs.
+constexpr int ample_slots = 1'000;
 
 std::string zone_name(int number) {
     return "zone-" + std::to_string(number % zones);
@@ -30,20 +27,10 @@
 class fleet_member {
 public:
     fleet_member(std::int64_t targets, std::int64_t instances) {
-        discovery::catalogue text;
-        text.version = 1;
-        auto& route = text.routes.emplace_back();
-        route.name = "feed";
-        route.address = {.address = 9, .port = 443};
-        route.splits = {{.service = "board", .weight = 1}};
-        text.services.push_back({.name = "board"});
-        known_.apply(text, 1, false, start);
+        known_.apply(testing::board_text(), 1, false, start);
         for (int i = 0; i < targets; ++i) {
-            discovery::target_entry entry;
-            entry.id = "i-" + std::to_string(i);
-            entry.service = "board";
-            entry.zone = zone_name(i);
-            entry.slots = 1'000;
+            const auto entry =
+                testing::board_target("i-" + std::to_string(i), zone_name(i), ample_slots);
             known_.apply(entry, i + 2, false, start);
             tokens_.push_back(discovery::token_of(entry.id));
         }
@@ -73,8 +60,7 @@
     void open(std::uint32_t number) {
         const auto now = start + clock::duration{number / openings_by_millisecond};
         steering::segment packet;
-        packet.flow = {.caller = {.address = number, .port = 1000},
-                       .route = {.address = 9, .port = 443}};
+        packet.flow = {.caller = {.address = number, .port = 1000}, .route = testing::board_route};
         packet.sequence = number;
         packet.is_opening = true;
         benchmark::DoNotOptimize(
@@ -83,8 +69,7 @@
 
     void send(std::uint32_t number) {
         steering::segment packet;
-        packet.flow = {.caller = {.address = number, .port = 1000},
-                       .route = {.address = 9, .port = 443}};
+        packet.flow = {.caller = {.address = number, .port = 1000}, .route = testing::board_route};
         packet.token = tokens_[number % tokens_.size()];
         packet.sequence = next_ += 40;
         packet.length = 40;
@@ -105,7 +90,7 @@
     steering::cold_gate cold_{"instance-0"};
     std::unique_ptr<fleet::peer_digests> digests_ =
         std::make_unique<fleet::peer_digests>(known_, "instance-0", zone_name(0), 1);
-    no_log log_;
+    testing::no_log log_;
     observability::steering_metrics metrics_;
     steering::steering subject_{
         {.zone = zone_name(0), .regions = {}}, known_, cold_, *digests_, log_, metrics_};
--- a/tests/steering_large_service_test.cpp
+++ b/tests/steering_large_service_test.cpp
@@ -10,6 +10,7 @@
 #include "observability/steering_metrics.h"
 #include "steering/steering.h"
 #include "steering/target_sample.h"
+#include "support/steering_parts.h"
 
 namespace bramleytrack {
 namespace {
@@ -19,12 +20,6 @@
 
 constexpr clock::time_point start = to_time_point(1'000'000);
 
-class no_log final : public event_log {
-public:
-    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
-    void write(const log_event& /*event*/) override {}
-};
-
 std::vector<discovery::target*> pointers_to(std::vector<discovery::target>& targets) {
     std::vector<discovery::target*> result(targets.size());
     std::ranges::transform(targets, result.begin(), [](auto& each) { return &each; });
@@ -69,7 +64,7 @@
     discovery::directory known_;
     steering::cold_gate cold_{"self"};
     fleet::peer_digests digests_{known_, "self", "north", 1};
-    no_log log_;
+    testing::no_log log_;
     observability::steering_metrics metrics_;
     steering::steering subject_{{.zone = "north", .regions = {{"north", "a"}, {"south", "a"}}},
                                 known_,
@@ -80,21 +75,10 @@
     int next_flow_ = 0;
 
     void SetUp() override {
-        discovery::catalogue text;
-        text.version = 1;
-        auto& route = text.routes.emplace_back();
-        route.name = "feed";
-        route.address = {.address = 9, .port = 443};
-        route.splits = {{.service = "board", .weight = 1}};
-        text.services.push_back({.name = "board"});
-        known_.apply(text, 1, false, start);
+        known_.apply(testing::board_text(), 1, false, start);
         for (const auto* zone : {"north", "south"}) {
             for (int i = 0; i < targets_by_zone; ++i) {
-                discovery::target_entry entry;
-                entry.id = zone + std::to_string(i);
-                entry.service = "board";
-                entry.zone = zone;
-                entry.slots = 2;
+                const auto entry = testing::board_target(zone + std::to_string(i), zone, 2);
                 known_.apply(entry, 2, false, start - clock::duration{1});
             }
         }
@@ -103,7 +87,7 @@
     steering::decision open(clock::time_point now) {
         steering::segment packet;
         packet.flow.caller = {.address = static_cast<std::uint32_t>(++next_flow_), .port = 1000};
-        packet.flow.route = {.address = 9, .port = 443};
+        packet.flow.route = testing::board_route;
         packet.sequence = 1;
         packet.is_opening = true;
         return subject_.on_segment(packet, {.is_complete = true, .confirmed = now}, now);
--- a/tests/steering_target_death_test.cpp
+++ b/tests/steering_target_death_test.cpp
@@ -5,6 +5,7 @@
 #include "fleet/peer_digests.h"
 #include "observability/steering_metrics.h"
 #include "steering/steering.h"
+#include "support/steering_parts.h"
 
 namespace bramleytrack {
 namespace {
@@ -13,45 +14,26 @@
 
 constexpr clock::time_point start = to_time_point(1'000'000);
 
-class no_log final : public event_log {
-public:
-    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
-    void write(const log_event& /*event*/) override {}
-};
-
 class steering_target_death : public ::testing::Test {
 protected:
     discovery::directory known_;
     steering::cold_gate cold_{"self"};
     fleet::peer_digests digests_{known_, "self", "north", 1};
-    no_log log_;
+    testing::no_log log_;
     observability::steering_metrics metrics_;
     steering::steering subject_{
         {.zone = "north", .regions = {}}, known_, cold_, digests_, log_, metrics_};
 
     void SetUp() override {
-        discovery::catalogue text;
-        text.version = 1;
-        auto& route = text.routes.emplace_back();
-        route.name = "lodge";
-        route.address = {.address = 9, .port = 443};
-        route.splits = {{.service = "board", .weight = 1}};
-        text.services.push_back({.name = "board"});
-        known_.apply(text, 1, false, start);
+        known_.apply(testing::board_text(), 1, false, start);
         for (const auto* id : {"i-1", "i-2"}) {
-            discovery::target_entry entry;
-            entry.id = id;
-            entry.service = "board";
-            entry.zone = "north";
-            entry.slots = 50;
-            known_.apply(entry, 2, false, start);
+            known_.apply(testing::board_target(id, "north", 50), 2, false, start);
         }
     }
 
     static segment packet(std::uint16_t port) {
         segment result;
-        result.flow = {.caller = {.address = 7, .port = port},
-                       .route = {.address = 9, .port = 443}};
+        result.flow = {.caller = {.address = 7, .port = port}, .route = testing::board_route};
         result.sequence = 100;
         return result;
     }
--- /dev/null
+++ b/tests/support/steering_parts.h
@@ -0,0 +1,41 @@
+// What tests and benchmarks of a single steering core share.
+#pragma once
+
+#include <string>
+
+#include "base/event_log.h"
+#include "discovery/directory.h"
+
+namespace bramleytrack::testing {
+
+class no_log final : public event_log {
+public:
+    bool admits(log_kind /*kind*/, clock::time_point /*now*/) override { return false; }
+    void write(const log_event& /*event*/) override {}
+};
+
+constexpr discovery::endpoint board_route{.address = 9, .port = 443};
+
+// One route, which leads to the service "board" and whose requests may run once only.
+inline discovery::catalogue board_text() {
+    discovery::catalogue text;
+    text.version = 1;
+    auto& route = text.routes.emplace_back();
+    route.name = "feed";
+    route.address = board_route;
+    route.splits = {{.service = "board", .weight = 1}};
+    text.services.push_back({.name = "board"});
+    return text;
+}
+
+inline discovery::target_entry board_target(const std::string& id, const std::string& zone,
+                                            int slots) {
+    discovery::target_entry entry;
+    entry.id = id;
+    entry.service = "board";
+    entry.zone = zone;
+    entry.slots = slots;
+    return entry;
+}
+
+}  // namespace bramleytrack::testing
