Fleet: Check targets whose openings nothing follows, and probe the dead again before callers do

No instance saw more than openings that nothing followed, and took no note of them. Besides, when a verdict ended and the target was still listed, callers of all instances tried it at the same moment.

Change: an opening that its caller doesn't go on with within 50 ms makes its target suspect. A refused connection counts as none: the process has ended, and its flows with it. A verdict that was found here is renewed by a probe 500 ms before it ends, while the target is listed; peers take the newer one.

Ruled out: the caller's next opening as a sign (it comes through another instance); a longer shun without a probe (a target that is back would stand idle).

Tests: steering_target_death.an_opening_that_its_caller_does_not_go_on_with_..., reach_probes_test.*, fleet_target_inquiry.a_dead_target_that_is_still_listed_... One check is replaced by one as strict: steering_overload.openings_avoid_targets_that_have_died compared with a fleet that heeds no copies, which does as well now by the checks; it compares with one that has neither, by the same bounds.

--- a/libraries/fleet/target_inquiry.cpp
+++ b/libraries/fleet/target_inquiry.cpp
@@ -50,13 +50,17 @@
     const auto sender = known_.peers().find(peer);
     const auto* target = known_.find_target(told.token);
     const bool is_near = sender != known_.peers().end() && sender->second.entry.zone == zone_;
+    const auto known = verdicts_.find(told.token);
+    const bool is_known =
+        known != verdicts_.end() &&
+        (known->second.is_refuted || known->second.is_own || since <= known->second.since);
     const bool is_news = is_near && target != nullptr && told.age < limits_.verdict_lifetime &&
-                         target->changed_at < since && !verdicts_.contains(told.token) &&
+                         target->changed_at < since && !is_known &&
                          verdicts_.size() < limits_.max_verdicts;
     if (!is_news) {
         return;
     }
-    note_verdict(told.token, since);
+    note_verdict(told.token, {.since = since, .told = 0, .is_own = false, .is_refuted = false});
     actions_.on_said_dead(*target, since + limits_.verdict_lifetime, now);
     if (has_flows) {
         suspect(told.token, now);
@@ -147,6 +151,7 @@
 }
 
 void target_inquiries::expire(clock::time_point now) {
+    renew_verdicts(now);
     std::erase_if(inquiries_, [this, now](const auto& each) {
         const auto& subject = each.second;
         switch (subject.at) {
@@ -224,7 +229,7 @@
 void target_inquiries::find_dead(discovery::routing_token token, inquiry& subject,
                                  clock::time_point now) {
     conclude(subject, now);
-    note_verdict(token, now);
+    note_verdict(token, {.since = now, .told = 0, .is_own = true, .is_refuted = false});
     if (const auto* target = known_.find_target(token)) {
         actions_.on_dead(*target, subject.begun, subject.confirmed_by, now);
     }
@@ -275,11 +280,20 @@
            now - found->second.since <= limits_.verdict_lifetime;
 }
 
-void target_inquiries::note_verdict(discovery::routing_token token, clock::time_point since) {
-    auto& noted = verdicts_[token];
-    if (noted.since < since) {
-        noted = {.since = since};
-        has_news_ = true;
+void target_inquiries::note_verdict(discovery::routing_token token, const verdict& noted) {
+    verdicts_[token] = noted;
+    has_news_ = true;
+}
+
+void target_inquiries::renew_verdicts(clock::time_point now) {
+    for (const auto& [token, each] : verdicts_) {
+        const auto* target = known_.find_target(token);
+        const bool is_due = each.is_own && !each.is_refuted && target != nullptr &&
+                            target->is_listed() &&
+                            now - each.since >= limits_.verdict_lifetime - limits_.renewal;
+        if (is_due && !inquiries_.contains(token)) {
+            suspect(token, now);
+        }
     }
 }
 
--- a/libraries/fleet/target_inquiry.h
+++ b/libraries/fleet/target_inquiry.h
@@ -39,6 +39,9 @@
     double probes_per_second = 10;
     // Targets that went leave the list within some two seconds.
     clock::duration verdict_lifetime{3'000};
+    // One that is still listed then is probed again so long before, or callers of all instances
+    // would try it at the same moment.
+    clock::duration renewal{500};
     std::size_t max_verdicts = 4'096;
     // Verdicts in one digest, those told least often first: 12 bytes each.
     std::size_t verdicts_in_digest = 16;
@@ -116,6 +119,7 @@
     struct verdict {
         clock::time_point since;
         int told = 0;
+        bool is_own = false;      // found here, not only told by a peer
         bool is_refuted = false;  // the target was reached from here since
     };
 
@@ -128,7 +132,8 @@
     std::vector<const discovery::peer_entry*> peers_for(discovery::routing_token token,
                                                         clock::time_point now) const;
     bool is_said_dead(discovery::routing_token token, clock::time_point now) const;
-    void note_verdict(discovery::routing_token token, clock::time_point since);
+    void note_verdict(discovery::routing_token token, const verdict& noted);
+    void renew_verdicts(clock::time_point now);
     void refute(discovery::routing_token token);
 
     const discovery::directory& known_;
--- a/libraries/net/reach_probes.cpp
+++ b/libraries/net/reach_probes.cpp
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
 #include "net/tcp.h"
@@ -19,12 +18,11 @@
     return poll(&state, 1, 0) > 0;
 }
 
-// Whether the end of an attempt to connect shows a living machine.
-bool is_sign_of_life(int socket) {
+// Whether an attempt to connect that has ended was taken.
+bool is_connected(int socket) {
     int error = 0;
     socklen_t size = sizeof(error);
-    const bool is_known = getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0;
-    return is_known && (error == 0 || error == ECONNREFUSED || error == ECONNRESET);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
 }
 
 }  // namespace
@@ -50,14 +48,12 @@
     bool has_ended() const { return done_ == nullptr; }
 
 private:
-    void on_writable(ev::io& /*watcher*/, int /*events*/) {
-        finish(is_sign_of_life(socket_.get()));
-    }
+    void on_writable(ev::io& /*watcher*/, int /*events*/) { finish(is_connected(socket_.get())); }
 
     // Failure: this process had no processor for a while, and its timers come late. The answer has
     // been there meanwhile, so the socket is asked before the target is found silent.
     void on_expiry(ev::timer& /*watcher*/, int /*events*/) {
-        finish(socket_.is_open() && has_answer(socket_.get()) && is_sign_of_life(socket_.get()));
+        finish(socket_.is_open() && has_answer(socket_.get()) && is_connected(socket_.get()));
     }
 
     void finish(bool is_reachable) {
--- a/libraries/net/reach_probes.h
+++ b/libraries/net/reach_probes.h
@@ -1,6 +1,6 @@
-// Tries to connect to an address and tells whether anything there answers.
+// Tries to connect to an address and tells whether anything there takes the connection.
 //
-// A refused connection counts as an answer: the machine lives, whatever runs on it.
+// A refused one counts as none: the machine lives, but the process that served there has ended.
 #pragma once
 
 #include <ev++.h>
--- a/libraries/steering/flow_watch.cpp
+++ b/libraries/steering/flow_watch.cpp
@@ -74,6 +74,23 @@
     signs.opened_at = now;
     begin_request(opening.flow, flow);
     openings_.emplace_back(opening.flow, now);
+    fresh_openings_.emplace_back(opening.flow, now);
+}
+
+std::vector<routing_token> flow_watch::take_unfollowed(clock::time_point now) {
+    std::vector<routing_token> result;
+    while (!fresh_openings_.empty() &&
+           now - fresh_openings_.front().second >= limits_.opening_answered_within) {
+        const auto& [key, opened_at] = fresh_openings_.front();
+        const auto* flow = find(key);
+        const bool is_unfollowed =
+            flow != nullptr && !flow->is_established && flow->opened_at == opened_at;
+        if (is_unfollowed && signs(flow->token).answered_at <= opened_at) {
+            result.push_back(flow->token);
+        }
+        fresh_openings_.pop_front();
+    }
+    return result;
 }
 
 observation flow_watch::note_packet(const segment& content, clock::time_point now) {
--- a/libraries/steering/flow_watch.h
+++ b/libraries/steering/flow_watch.h
@@ -87,6 +87,9 @@
     // A caller sends its request as soon as the target has answered the opening. When none has come
     // by then, the opening holds no slot: its caller has given up, or its target is dead.
     clock::duration request_follows{250};
+    // A caller goes on as soon as its opening is answered, a few milliseconds after it. One that
+    // was refused by the target sends nothing more on that flow, no copy either.
+    clock::duration opening_answered_within{50};
     // An opening without an answer is forgotten then: callers give it up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
@@ -116,6 +119,12 @@
     std::optional<routing_token> note_unanswered(const flow_key& key, clock::time_point now);
     void note_opening(const segment& opening, routing_token token, clock::time_point now);
     observation note_packet(const segment& content, clock::time_point now);
+    // Targets of openings that their callers haven't gone on with, each once.
+    //
+    // Failure: a target's process has ended, and its machine refuses each opening. The refusal goes
+    // to the caller, which opens another flow, through another instance, and is refused again; no
+    // instance sees more than an opening that nothing follows.
+    std::vector<routing_token> take_unfollowed(clock::time_point now);
     // The flow's caller was told that it is over.
     void forget(const flow_key& key);
     // Forgets the target's established flows and returns what their callers are to be told.
@@ -154,6 +163,8 @@
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
     // Openings by age, the oldest first; those that led to a request meanwhile are still here.
     std::deque<std::pair<flow_key, clock::time_point>> openings_;
+    // The newest of them, which may still be answered in time.
+    std::deque<std::pair<flow_key, clock::time_point>> fresh_openings_;
     std::unordered_map<routing_token, target_signs> signs_;
     caller_shares callers_;
     path_health path_;
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -212,6 +212,11 @@
     std::ranges::move(ended, std::back_inserter(resets_));
 }
 
+std::vector<routing_token> steering::take_suspects(clock::time_point now) {
+    std::ranges::move(flows_.take_unfollowed(now), std::back_inserter(suspects_));
+    return std::exchange(suspects_, {});
+}
+
 void steering::on_target_dead(const discovery::target& target, clock::time_point probed_at,
                               clock::time_point now) {
     if (flows_.signs(target.token).answered_at >= probed_at) {
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -69,7 +69,7 @@
     // send.
     std::vector<reset> take_resets() { return std::exchange(resets_, {}); }
     // Targets that left something unanswered since this was last asked, for the daemon to check.
-    std::vector<routing_token> take_suspects() { return std::exchange(suspects_, {}); }
+    std::vector<routing_token> take_suspects(clock::time_point now);
 
     // The target can't be reached since `probed_at`: ends its flows, unless it showed life since.
     void on_target_dead(const discovery::target& target, clock::time_point probed_at,
--- a/services/bramleybench/baselines.cpp
+++ b/services/bramleybench/baselines.cpp
@@ -64,10 +64,10 @@
 
 load::strategies strategies_without(const std::vector<std::string>& names) {
     auto table = load::default_strategies();
-    constexpr std::array<std::string_view, 11> of_flows{
+    constexpr std::array<std::string_view, 12> of_flows{
         "shared_demands",   "second_candidate", "own_placements",     "threshold",
         "cold_observation", "cold_start",       "open_request_limit", "shared_loads",
-        "caller_shares",    "opening_copies",   "dead_flows"};
+        "caller_shares",    "opening_copies",   "dead_flows",         "target_checks"};
     for (const auto& name : names) {
         if (std::ranges::find(of_flows, name) != of_flows.end()) {
             continue;  // see placement_, cold_ and overload_experiment.h
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -133,6 +133,7 @@
         choice.shares_loads = choice.shares_loads && name != "shared_loads";
         choice.shares_demands = choice.shares_demands && name != "shared_demands";
         choice.knows_callers = choice.knows_callers && name != "caller_shares";
+        choice.checks_targets = choice.checks_targets && name != "target_checks";
         choice.heeds_copies = choice.heeds_copies && name != "opening_copies";
         choice.ends_dead_flows = choice.ends_dead_flows && name != "dead_flows";
     }
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -127,7 +127,10 @@
 void overload_fleet::check_suspects(std::size_t number, clock::time_point now) {
     now_ = now;
     auto& subject = instances_[number];
-    for (const auto token : subject.core->take_suspects()) {
+    if (!choice_.checks_targets) {
+        return;
+    }
+    for (const auto token : subject.core->take_suspects(now)) {
         subject.inquiries->suspect(token, now);
     }
 }
--- a/services/bramleyd/target_checks.cpp
+++ b/services/bramleyd/target_checks.cpp
@@ -49,7 +49,7 @@
 }
 
 void target_checks::check_suspects(clock::time_point now) {
-    for (const auto token : core_.take_suspects()) {
+    for (const auto token : core_.take_suspects(now)) {
         inquiries_.suspect(token, now);
     }
 }
--- a/tests/fleet_target_inquiry_test.cpp
+++ b/tests/fleet_target_inquiry_test.cpp
@@ -315,6 +315,26 @@
     }
 }
 
+TEST_F(fleet_target_inquiry, a_dead_target_that_is_still_listed_is_probed_before_callers_try_it) {
+    // Guards against callers of all instances that try it again as soon as the verdict is old.
+    add_instances(4, "north");
+    instances_[0]->inquiries.suspect(token_of_target, now_);
+    settle();
+    for (int i = 0; i < 100; ++i) {
+        exchange_digests();
+        advance(clock::duration{100});
+    }
+    EXPECT_GE(instances_[0]->probes, 5);
+    EXPECT_TRUE(instances_[2]->is_shunning);
+    // It is back.
+    can_reach_ = [](const instance&) { return true; };
+    for (int i = 0; i < 40; ++i) {
+        advance(clock::duration{100});
+        settle();
+    }
+    EXPECT_FALSE(instances_[0]->is_shunning);
+}
+
 TEST_F(fleet_target_inquiry, a_target_that_writes_to_the_store_is_alive) {
     add_instances(4, "north");
     instances_[1]->inquiries.on_said_dead("north-0", {.token = token_of_target}, false, now_);
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -84,9 +84,9 @@
     // Four targets of fourteen fall silent while their entries are still there, and callers open a
     // flow for each request. Without a sign of it nearly three openings of ten would wait for their
     // copies, for as long as the entries stay.
-    constexpr overload_choice without_copies{.heeds_copies = false};
+    constexpr overload_choice without_signs{.checks_targets = false, .heeds_copies = false};
     const auto with = figures("steer_dead_short_flows", {});
-    const auto without = figures("steer_dead_short_flows", without_copies);
+    const auto without = figures("steer_dead_short_flows", without_signs);
     EXPECT_GT(with.at("in time"), 0.975);
     EXPECT_GT(with.at("in time"), without.at("in time") + 0.015);
 }
--- a/tests/steering_target_death_test.cpp
+++ b/tests/steering_target_death_test.cpp
@@ -74,17 +74,18 @@
 TEST_F(steering_target_death, a_repeated_packet_makes_its_target_suspect) {
     open_flow(1, "i-1", start);
     deliver(request(1, "i-1"), start + clock::duration{10});
-    EXPECT_TRUE(subject_.take_suspects().empty());
-    deliver(request(1, "i-1"), start + clock::duration{210});
-    EXPECT_EQ(subject_.take_suspects().size(), 1U);
-    EXPECT_TRUE(subject_.take_suspects().empty());
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{10}).empty());
+    const auto repeated = start + clock::duration{210};
+    deliver(request(1, "i-1"), repeated);
+    EXPECT_EQ(subject_.take_suspects(repeated).size(), 1U);
+    EXPECT_TRUE(subject_.take_suspects(repeated).empty());
 }
 
 TEST_F(steering_target_death, packets_that_waited_in_the_own_socket_make_no_target_suspect) {
     open_flow(1, "i-1", start);
     deliver(request(1, "i-1"), start + clock::duration{400});
     deliver(request(1, "i-1"), start + clock::duration{401});
-    EXPECT_TRUE(subject_.take_suspects().empty());
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{401}).empty());
 }
 
 TEST_F(steering_target_death, a_target_that_answered_another_flow_meanwhile_is_not_suspect) {
@@ -92,7 +93,7 @@
     deliver(request(1, "i-1"), start + clock::duration{10});
     open_flow(2, "i-1", start + clock::duration{100});
     deliver(request(1, "i-1"), start + clock::duration{210});
-    EXPECT_TRUE(subject_.take_suspects().empty());
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{210}).empty());
 }
 
 TEST_F(steering_target_death, a_copy_of_an_opening_makes_its_target_suspect) {
@@ -101,7 +102,24 @@
     deliver(opening, start);
     opening.copy = 1;
     deliver(opening, start + clock::duration{200});
-    EXPECT_EQ(subject_.take_suspects().size(), 1U);
+    EXPECT_EQ(subject_.take_suspects(start + clock::duration{200}).size(), 1U);
+}
+
+TEST_F(steering_target_death,
+       an_opening_that_its_caller_does_not_go_on_with_makes_its_target_suspect) {
+    // Guards against targets whose processes have ended and that refuse each caller, unseen here.
+    const auto refused_by = target_of_new_flow(1, start);
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{49}).empty());
+    const auto suspects = subject_.take_suspects(start + clock::duration{50});
+    ASSERT_EQ(suspects.size(), 1U);
+    EXPECT_EQ(suspects.front(), discovery::token_of(refused_by));
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{100}).empty());
+}
+
+TEST_F(steering_target_death, an_opening_that_its_caller_goes_on_with_makes_no_target_suspect) {
+    const auto taken_by = target_of_new_flow(1, start);
+    open_flow(1, taken_by, start + clock::duration{4});
+    EXPECT_TRUE(subject_.take_suspects(start + clock::duration{100}).empty());
 }
 
 TEST_F(steering_target_death, all_flows_of_a_dead_target_end_also_those_that_ask_for_nothing) {
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -341,7 +341,7 @@
     }
     transcript_.push_back(line);
     note_resets(subject);
-    for (const auto token : subject.subject.take_suspects()) {
+    for (const auto token : subject.subject.take_suspects(now_)) {
         subject.inquiries.suspect(token, now_);
     }
 }
