Fleet: Decide nothing about a service whose targets take no connections

Any network that lets only the flows' packets through would do the same.

Change: two other targets of the service are tried with its first suspect, and no verdict falls here before one of the service's targets has taken a connection.

--- a/libraries/fleet/target_inquiry.cpp
+++ b/libraries/fleet/target_inquiry.cpp
@@ -33,6 +33,7 @@
     if (found == inquiries_.end()) {
         if (auto* begun = begin(*target, now)) {
             begun->is_suspected = true;
+            probe_controls(*target, now);
             actions_.probe(*target);
         }
         return;
@@ -40,6 +41,7 @@
     auto& subject = found->second;
     const bool was_suspected = std::exchange(subject.is_suspected, true);
     if (subject.at == stage::concluded && !subject.is_reachable && !was_suspected) {
+        probe_controls(*target, now);
         ask_peers(token, subject, now);
     }
 }
@@ -83,6 +85,9 @@
         }
     }
     if (is_reachable) {
+        if (const auto* target = known_.find_target(token)) {
+            reached_services_.insert(target->entry.service);
+        }
         refute(token);
         return;
     }
@@ -203,6 +208,26 @@
     return &subject;
 }
 
+void target_inquiries::probe_controls(const discovery::target& suspected, clock::time_point now) {
+    const auto* pool = known_.find_pool(suspected.entry.service);
+    if (pool == nullptr || reached_services_.contains(suspected.entry.service)) {
+        return;
+    }
+    std::size_t probed = 0;
+    const auto start = hash_of(suspected.token, hash_of(self_));
+    for (std::size_t i = 0; i < pool->targets.size() && probed < limits_.controls; ++i) {
+        const auto& control = *pool->targets[(start + i) % pool->targets.size()];
+        if (inquiries_.contains(control.token) || !control.takes_flows(now)) {
+            continue;
+        }
+        if (begin(control, now) == nullptr) {
+            return;
+        }
+        actions_.probe(control);
+        ++probed;
+    }
+}
+
 void target_inquiries::conclude(inquiry& subject, clock::time_point now) {
     subject.at = stage::concluded;
     subject.since = now;
@@ -229,10 +254,12 @@
 void target_inquiries::find_dead(discovery::routing_token token, inquiry& subject,
                                  clock::time_point now) {
     conclude(subject, now);
-    note_verdict(token, {.since = now, .told = 0, .is_own = true, .is_refuted = false});
-    if (const auto* target = known_.find_target(token)) {
-        actions_.on_dead(*target, subject.begun, subject.confirmed_by, now);
+    const auto* target = known_.find_target(token);
+    if (target == nullptr || !reached_services_.contains(target->entry.service)) {
+        return;
     }
+    note_verdict(token, {.since = now, .told = 0, .is_own = true, .is_refuted = false});
+    actions_.on_dead(*target, subject.begun, subject.confirmed_by, now);
 }
 
 bool target_inquiries::is_confirmed(const inquiry& subject) const {
--- a/libraries/fleet/target_inquiry.h
+++ b/libraries/fleet/target_inquiry.h
@@ -10,9 +10,14 @@
 // Failure: an instance that is cut off finds every target dead, and its word would end flows of
 // targets that live. So what a peer says never ends a flow: it starts the same check here, and only
 // peers of the own zone are believed, since a cut between zones makes each find the other dead.
+//
+// Failure: targets of a service take no connections from here, though they answer packets, and each
+// that is slow for a moment would count as dead. So nothing is decided about a service before one
+// of its targets has taken a connection; two others are tried together with the first suspect.
 #pragma once
 
 #include <cstddef>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -28,6 +33,8 @@
     // Peers that are asked answer after a probe of theirs, or not at all.
     clock::duration answers_within{200};
     std::size_t peers_to_ask = 3;
+    // Other targets of a service that are tried with its first suspect.
+    std::size_t controls = 2;
     // Peers that must have failed to reach the target too, unless there are fewer.
     std::size_t least_confirmations = 2;
     // What a probe has found holds for so long; callers that repeat packets meanwhile start none.
@@ -126,6 +133,7 @@
     // Nothing while there is no budget for a probe.
     inquiry* begin(const discovery::target& target, clock::time_point now);
     void conclude(inquiry& subject, clock::time_point now);
+    void probe_controls(const discovery::target& suspected, clock::time_point now);
     void ask_peers(discovery::routing_token token, inquiry& subject, clock::time_point now);
     void find_dead(discovery::routing_token token, inquiry& subject, clock::time_point now);
     bool is_confirmed(const inquiry& subject) const;
@@ -142,6 +150,7 @@
     inquiry_actions& actions_;
     inquiry_limits limits_;
     rate_budget probes_;
+    std::set<std::string, std::less<>> reached_services_;  // of which a target took a connection
     std::unordered_map<discovery::routing_token, inquiry> inquiries_;
     std::unordered_map<discovery::routing_token, verdict> verdicts_;  // own ones and peers'
     bool has_news_ = false;
--- a/tests/fleet_target_inquiry_test.cpp
+++ b/tests/fleet_target_inquiry_test.cpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "fleet/target_inquiry.h"
+#include "support/steering_parts.h"
 
 namespace bramleytrack {
 namespace {
@@ -32,8 +33,11 @@
               inquiries{owner.known_, own_name, own_zone, *this} {}
 
         void probe(const discovery::target& target) override {
-            ++probes;
-            if (fleet.can_reach_(*this)) {
+            ++all_probes;
+            const bool is_control = target.token != token_of_target;
+            probes += is_control ? 0 : 1;
+            const bool is_answered = is_control && fleet.are_controls_reached_;
+            if (is_answered || fleet.can_reach_(*this)) {
                 fleet.later_.emplace_back(
                     [this, token = target.token] { inquiries.on_probe(token, true, fleet.now_); });
             } else {
@@ -70,7 +74,8 @@
         std::string zone;
         fleet::target_inquiries inquiries;
         std::vector<routing_token> probing;  // without an answer
-        int probes = 0;
+        int probes = 0;                      // of the first target
+        int all_probes = 0;
         int questions = 0;
         bool has_flows = false;
         bool has_ended_flows = false;
@@ -78,10 +83,11 @@
     };
 
     fleet_target_inquiry() {
-        discovery::target_entry entry;
-        entry.id = "i-1";
-        entry.zone = "north";
-        known_.apply(entry, 1, false, start - clock::duration{1});
+        known_.apply(testing::board_text(), 1, false, start - clock::duration{1});
+        for (const auto* id : {"i-1", "i-2", "i-3"}) {
+            known_.apply(testing::board_target(id, "north", 2), 1, false,
+                         start - clock::duration{1});
+        }
     }
 
     void add_instances(int number, const std::string& zone) {
@@ -164,6 +170,7 @@
     std::deque<std::function<void()>> later_;
     std::set<std::string> gone_;  // they answer nobody
     std::function<bool(const instance&)> can_reach_ = [](const instance&) { return false; };
+    bool are_controls_reached_ = true;  // i-2 and i-3
     clock::time_point now_ = start;
 };
 
@@ -251,6 +258,20 @@
     EXPECT_TRUE(instances_[0]->has_ended_flows);
 }
 
+TEST_F(fleet_target_inquiry, decides_nothing_about_a_service_whose_targets_take_no_connections) {
+    // Guards against a network that lets only packets of flows through to targets, where each that
+    // is slow for a moment would count as dead.
+    add_instances(6, "north");
+    are_controls_reached_ = false;
+    for (int i = 0; i < 10; ++i) {
+        instances_[0]->inquiries.suspect(token_of_target, now_);
+        settle();
+        advance(clock::duration{1'100});
+    }
+    EXPECT_EQ(count(&instance::has_ended_flows), 0);
+    EXPECT_TRUE(instances_[0]->inquiries.take_verdicts(now_).empty());
+}
+
 TEST_F(fleet_target_inquiry, decides_nothing_without_peers) {
     // Guards against the only instance that is left, whose own link may be what is cut.
     add_instances(1, "north");
@@ -282,6 +303,7 @@
     for (int i = 0; i < targets; ++i) {
         discovery::target_entry entry;
         entry.id = "slow-" + std::to_string(i);
+        entry.service = "board";
         known_.apply(entry, 10 + i, false, start);
     }
     for (int second = 0; second < 10; ++second) {
@@ -292,8 +314,8 @@
         deliver();
         advance(clock::duration{1'001});
     }
-    EXPECT_LE(instances_[0]->probes, 64 + 10 * 10);
-    EXPECT_GE(instances_[0]->probes, 64);
+    EXPECT_LE(instances_[0]->all_probes, 64 + 10 * 10);
+    EXPECT_GE(instances_[0]->all_probes, 64);
 }
 
 TEST_F(fleet_target_inquiry, a_verdict_ends_with_its_lifetime_wherever_it_was_passed_on) {
