--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -203,8 +203,8 @@
     feed_.set_watchers(sources_.expected_watchers(now));
     if (!is_informed_) {
         exchange_.fetch_from_seed(now);
-    } else if (const auto wanted = sources_.wanted_pull(
-                   mirror_.revision(), should_watch && !feed_.is_pausing(), now)) {
+    } else if (const auto wanted = sources_.wanted_pull(mirror_.revision(),
+                                                        should_watch && !feed_.is_pausing(), now)) {
         exchange_.fetch(*wanted, now);
     }
     const bool has_lost_store = feed_.failed_at() != clock::time_point{};
--- a/tests/reach_probes_test.cpp
+++ b/tests/reach_probes_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <optional>
 
 #include "net/tcp.h"
@@ -47,9 +48,9 @@
     ASSERT_EQ(bind(listening.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
               0);
     ASSERT_EQ(listen(listening.get(), 0), 0);
-    std::vector<net::descriptor> waiting;
-    for (int i = 0; i < 8; ++i) {
-        waiting.push_back(net::begin_connect(address));
+    std::array<net::descriptor, 8> waiting;
+    for (auto& each : waiting) {
+        each = net::begin_connect(address);
     }
     EXPECT_FALSE(probe(address));
 }
