Fleet: Take a verdict that comes back by another way for the same one

Cause: found on reading the diff: the age in a digest grows short by the time on the way, so a verdict that comes back seems a few milliseconds newer than what is known. It was taken for a new one, told three times more by each, and its end moved with every round.

Tests: fleet_target_inquiry.a_verdict_that_comes_back_by_another_way_is_the_same.

--- a/libraries/fleet/target_inquiry.cpp
+++ b/libraries/fleet/target_inquiry.cpp
@@ -54,8 +54,8 @@
     const bool is_near = sender != known_.peers().end() && sender->second.entry.zone == zone_;
     const auto known = verdicts_.find(told.token);
     const bool is_known =
-        known != verdicts_.end() &&
-        (known->second.is_refuted || known->second.is_own || since <= known->second.since);
+        known != verdicts_.end() && (known->second.is_refuted || known->second.is_own ||
+                                     since <= known->second.since + limits_.same_verdict);
     const bool is_news = is_near && target != nullptr && told.age < limits_.verdict_lifetime &&
                          target->changed_at < since && !is_known &&
                          verdicts_.size() < limits_.max_verdicts;
@@ -63,7 +63,7 @@
         return;
     }
     note_verdict(told.token, {.since = since, .told = 0, .is_own = false, .is_refuted = false});
-    actions_.on_said_dead(*target, since + limits_.verdict_lifetime, now);
+    actions_.on_said_dead(*target, since + limits_.verdict_lifetime);
     if (has_flows) {
         suspect(told.token, now);
     }
--- a/libraries/fleet/target_inquiry.h
+++ b/libraries/fleet/target_inquiry.h
@@ -49,6 +49,9 @@
     // One that is still listed then is probed again so long before, or callers of all instances
     // would try it at the same moment.
     clock::duration renewal{500};
+    // The age that a digest tells grows short by the time on the way. Verdicts that seem no further
+    // apart are the same one, which would go round for longer if each teller made it newer.
+    clock::duration same_verdict{1'000};
     std::size_t max_verdicts = 4'096;
     // Verdicts in one digest, those told least often first: 12 bytes each.
     std::size_t verdicts_in_digest = 16;
@@ -73,8 +76,7 @@
     virtual void on_dead(const discovery::target& target, clock::time_point probed_at,
                          std::span<const std::string> confirmed_by, clock::time_point now) = 0;
     // A peer's word, which holds until then: new flows had better go elsewhere.
-    virtual void on_said_dead(const discovery::target& target, clock::time_point until,
-                              clock::time_point now) = 0;
+    virtual void on_said_dead(const discovery::target& target, clock::time_point until) = 0;
     // The target was reached from here, whatever peers say.
     virtual void on_reached(const discovery::target& target) = 0;
 };
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -164,8 +164,8 @@
     fleet_.core(number_).on_target_dead(target, probed_at, now);
 }
 
-void overload_fleet::checks::on_said_dead(const discovery::target& target, clock::time_point until,
-                                          clock::time_point /*now*/) {
+void overload_fleet::checks::on_said_dead(const discovery::target& target,
+                                          clock::time_point until) {
     fleet_.core(number_).on_target_said_dead(target, until);
 }
 
--- a/services/bramleybench/overload_fleet.h
+++ b/services/bramleybench/overload_fleet.h
@@ -75,8 +75,7 @@
                     bool is_reachable) override;
         void on_dead(const discovery::target& target, clock::time_point probed_at,
                      std::span<const std::string> confirmed_by, clock::time_point now) override;
-        void on_said_dead(const discovery::target& target, clock::time_point until,
-                          clock::time_point now) override;
+        void on_said_dead(const discovery::target& target, clock::time_point until) override;
         void on_reached(const discovery::target& target) override;
 
     private:
--- a/services/bramleyd/target_checks.cpp
+++ b/services/bramleyd/target_checks.cpp
@@ -100,8 +100,7 @@
     flows_ended_();
 }
 
-void target_checks::on_said_dead(const discovery::target& target, clock::time_point until,
-                                 clock::time_point /*now*/) {
+void target_checks::on_said_dead(const discovery::target& target, clock::time_point until) {
     core_.on_target_said_dead(target, until);
 }
 
--- a/tests/fleet_target_inquiry_test.cpp
+++ b/tests/fleet_target_inquiry_test.cpp
@@ -63,8 +63,8 @@
                      clock::time_point /*now*/) override {
             has_ended_flows = true;
         }
-        void on_said_dead(const discovery::target& /*target*/, clock::time_point /*until*/,
-                          clock::time_point /*now*/) override {
+        void on_said_dead(const discovery::target& /*target*/,
+                          clock::time_point /*until*/) override {
             is_shunning = true;
         }
         void on_reached(const discovery::target& /*target*/) override { is_shunning = false; }
@@ -357,6 +357,25 @@
     EXPECT_FALSE(instances_[0]->is_shunning);
 }
 
+TEST_F(fleet_target_inquiry, a_verdict_that_comes_back_by_another_way_is_the_same) {
+    // Guards against word that goes round for longer, since each teller makes it a little newer.
+    add_instances(3, "north");
+    auto& subject = named("north-0").inquiries;
+    advance(clock::duration{1'000});
+    subject.on_said_dead("north-1", {.token = token_of_target, .age = clock::duration{200}}, false,
+                         now_);
+    EXPECT_EQ(subject.take_verdicts(now_).size(), 1U);
+    advance(clock::duration{300});
+    subject.on_said_dead("north-2", {.token = token_of_target, .age = clock::duration{490}}, false,
+                         now_);
+    EXPECT_FALSE(subject.has_news());
+    // A new probe has failed since.
+    advance(clock::duration{2'200});
+    subject.on_said_dead("north-2", {.token = token_of_target, .age = clock::duration{10}}, false,
+                         now_);
+    EXPECT_TRUE(subject.has_news());
+}
+
 TEST_F(fleet_target_inquiry, a_target_that_writes_to_the_store_is_alive) {
     add_instances(4, "north");
     instances_[1]->inquiries.on_said_dead("north-0", {.token = token_of_target}, false, now_);
--- a/tests/support/steering_session.cpp
+++ b/tests/support/steering_session.cpp
@@ -86,8 +86,8 @@
     session.note_resets(*this);
 }
 
-void steering_session::node::on_said_dead(const discovery::target& target, clock::time_point until,
-                                          clock::time_point /*now*/) {
+void steering_session::node::on_said_dead(const discovery::target& target,
+                                          clock::time_point until) {
     subject.on_target_said_dead(target, until);
 }
 
