Steering: State in one place when too many targets are shunned

Cause: on reading the whole change: the rule that the sign is doubted when more than half are shunned stood in placement, and once more in the sums of load_picture.

Change: both call are_too_many_shunned, which takes the two numbers. Behaviour unchanged.

--- a/libraries/steering/load_picture.cpp
+++ b/libraries/steering/load_picture.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "steering/placement.h"
+
 namespace bramleytrack::steering {
 namespace {
 
@@ -42,7 +44,7 @@
         targets += each.targets;
         shunned_targets += each.shunned_targets;
     }
-    if (2 * shunned_targets > targets) {
+    if (are_too_many_shunned(shunned_targets, targets)) {
         result.add(shunned);
     }
     result.add_placed(sum.placed_since);
--- a/libraries/steering/placement.cpp
+++ b/libraries/steering/placement.cpp
@@ -54,8 +54,8 @@
 
 }  // namespace
 
-bool are_too_many_shunned(std::span<const candidate> candidates) {
-    return 2 * std::ranges::count_if(candidates, &candidate::is_shunned) > std::ssize(candidates);
+bool are_too_many_shunned(std::size_t shunned, std::size_t all) {
+    return 2 * shunned > all;
 }
 
 std::variant<std::size_t, no_choice> choose(std::span<const candidate> candidates,
@@ -75,7 +75,8 @@
             return *found;
         }
     }
-    if (are_too_many_shunned(candidates)) {
+    const auto shunned = std::ranges::count_if(candidates, &candidate::is_shunned);
+    if (are_too_many_shunned(static_cast<std::size_t>(shunned), candidates.size())) {
         constexpr group has_room = [](const candidate& each) { return each.has_room; };
         if (const auto found = lighter_of_first(candidates, flow_hash, copy, has_room)) {
             return *found;
--- a/libraries/steering/placement.h
+++ b/libraries/steering/placement.h
@@ -6,6 +6,7 @@
 // turns requests away.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <variant>
@@ -29,7 +30,7 @@
 // are shunned though they live; the few others are soon full, and callers would be refused while
 // targets are idle. More than half of a service doesn't die within the seconds for which targets
 // are shunned, so beyond that the sign is doubted, and shunned targets take what the others can't.
-bool are_too_many_shunned(std::span<const candidate> candidates);
+bool are_too_many_shunned(std::size_t shunned, std::size_t all);
 
 // Why no target was chosen.
 enum class no_choice {
