Steering: Rank routes by those that callers ask for

Cause: a service's most urgent priority was taken over all routes of the text. Texts list routes without traffic, by the highest priority, so each route in use yielded alike and the operators' ranks did nothing on any site.

What counts now is what callers asked for lately, by priority, at this instance (service_demand).

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 #include "base/hash.h"
 
@@ -236,17 +235,7 @@
     are_pools_stale_ = false;
     pools_.clear();
     for (const auto& each : catalogue_.services) {
-        auto& created = pools_[each.name];
-        created.description = each;
-        created.most_urgent = std::numeric_limits<int>::max();
-    }
-    for (const auto& route : catalogue_.routes) {
-        for (const auto& each : route.splits) {
-            const auto found = pools_.find(each.service);
-            if (found != pools_.end()) {
-                found->second.most_urgent = std::min(found->second.most_urgent, route.priority);
-            }
-        }
+        pools_[each.name].description = each;
     }
     for (const auto& [id, known] : targets_) {
         const auto found = pools_.find(known->entry.service);
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -23,7 +23,6 @@
 // A service as a route splits to it, with its targets resolved.
 struct pool {
     service description;
-    int most_urgent = 0;           // priority of the most urgent route that leads here
     std::vector<target*> targets;  // listed, or vanished not long ago; in the order of their ids
     std::map<std::string, std::vector<target*>, std::less<>> by_zone;  // the same
 };
--- a/libraries/steering/admission.h
+++ b/libraries/steering/admission.h
@@ -63,8 +63,11 @@
 // Requests that may be open on a target for each of its slots before no more flows are placed
 // there.
 constexpr double open_by_slot = 2;
-// Of the room, for routes that are less urgent than others of their service.
+// Of the room, for routes that are less urgent than others that callers ask for just now.
 constexpr double room_of_less_urgent = 0.88;
+// So much of service_demand::recent_more_urgent makes the others yield: one request of the last
+// third of a second.
+constexpr double demand_to_yield_to = 0.5;
 // Of the room, for callers that have more than their share of it, see caller_shares.
 constexpr double room_of_heavy_callers = 0.75;
 
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -61,7 +61,9 @@
             .with("target_age_ms", age_of(chosen->to->changed_at, now))
             .with("open_requests", signs.open_requests);
     } else {
+        constexpr double percent = 100;
         event.with("caller_over_share", is_heavy ? "yes" : "no")
+            .with("room_percent", std::llround(percent * facts.share_of_room))
             .with("slots", std::llround(facts.use.slots()))
             .with("open_here", std::llround(facts.use.open_here()))
             .with("open_elsewhere", std::llround(facts.use.open_elsewhere()))
--- a/libraries/steering/decision_log.h
+++ b/libraries/steering/decision_log.h
@@ -25,6 +25,7 @@
     const discovery::route* route = nullptr;  // nothing when none is known
     const decision& made;
     std::size_t candidates = 0;  // targets that could have taken the flow
+    double share_of_room = 1;    // less than 1 for a route or caller that yields to others
     const service_use& use;
 };
 
--- a/libraries/steering/service_demand.cpp
+++ b/libraries/steering/service_demand.cpp
@@ -4,14 +4,31 @@
 
 namespace bramleytrack::steering {
 
-void service_demand::on_asked(clock::time_point now) {
-    asked_ = recent(now) + 1;
-    asked_at_ = now;
+double service_demand::decaying_count::recent(clock::time_point now) const {
+    const auto elapsed = static_cast<double>((now - at).count());
+    return value * std::exp(-elapsed / static_cast<double>(memory.count()));
+}
+
+void service_demand::on_asked(int priority, clock::time_point now) {
+    auto& asked = by_priority_[priority];
+    asked.value = asked.recent(now) + 1;
+    asked.at = now;
 }
 
 double service_demand::recent(clock::time_point now) const {
-    const auto elapsed = static_cast<double>((now - asked_at_).count());
-    return asked_ * std::exp(-elapsed / static_cast<double>(memory.count()));
+    double sum = 0;
+    for (const auto& [priority, asked] : by_priority_) {
+        sum += asked.recent(now);
+    }
+    return sum;
+}
+
+double service_demand::recent_more_urgent(int priority, clock::time_point now) const {
+    double sum = 0;
+    for (const auto& [other, asked] : by_priority_) {
+        sum += other < priority ? asked.recent(now) : 0;
+    }
+    return sum;
 }
 
 }  // namespace bramleytrack::steering
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <limits>
 #include <span>
 
 #include "base/hash.h"
@@ -11,6 +12,9 @@
 namespace bramleytrack::steering {
 namespace {
 
+// The priority of requests on a route that isn't listed any more.
+constexpr int least_urgent = std::numeric_limits<int>::max();
+
 std::uint64_t hash_of_flow(const segment& content) {
     return bramleytrack::hash_of(flow_key_hash{}(content.flow), content.sequence);
 }
@@ -78,6 +82,7 @@
                       .route = route,
                       .made = made,
                       .candidates = targets.candidates.size(),
+                      .share_of_room = targets.share_of_room,
                       .use = targets.use},
                      now);
         return made;
@@ -106,7 +111,7 @@
     const auto flow_hash = hash_of_flow(content);
     const auto* pool = pool_of(*route, flow_hash);
     if (pool != nullptr && content.copy == 0) {
-        demands_[pool->description.name].on_asked(now);
+        demands_[pool->description.name].on_asked(route->priority, now);
     }
     if (pool != nullptr) {
         targets = eligible(*pool, *route, content, now);
@@ -170,7 +175,8 @@
     const auto objective = route == nullptr ? clock::duration{0} : route->latency_objective;
     const auto seen = flows_.note_packet(content, now);
     if (seen.is_request_begun) {
-        demands_[target->entry.service].on_asked(now);
+        demands_[target->entry.service].on_asked(route == nullptr ? least_urgent : route->priority,
+                                                 now);
     }
     if (seen.is_answer_to_opening) {
         observer_.on_opening_answered(*target, seen.opening_took);
@@ -312,9 +318,12 @@
 // When there isn't room for all, callers of a route that operators rank behind another one of the
 // service are turned away first, and so are callers that have more than their share already.
 double steering::share_of_room(const discovery::pool& pool, const discovery::route& route,
-                               const flow_key& flow) const {
+                               const flow_key& flow, clock::time_point now) const {
+    const auto asked = demands_.find(pool.description.name);
+    const bool yields = asked != demands_.end() &&
+                        asked->second.recent_more_urgent(route.priority, now) >= demand_to_yield_to;
     double share = 1;
-    share *= route.priority > pool.most_urgent ? room_of_less_urgent : 1;
+    share *= yields ? room_of_less_urgent : 1;
     share *= flows_.callers().is_heavy(flow.caller.address) ? room_of_heavy_callers : 1;
     return share;
 }
@@ -343,12 +352,12 @@
 steering::eligible_targets steering::eligible(const discovery::pool& pool,
                                               const discovery::route& route, const segment& content,
                                               clock::time_point now) {
-    const double share = share_of_room(pool, route, content.flow);
     eligible_targets result;
+    result.share_of_room = share_of_room(pool, route, content.flow, now);
     result.use = picture_.use_of(
         pool, wants_of(pool.description.name, now),
         [this, &route](std::string_view zone) { return is_allowed(route, zone); }, now);
-    const bool has_service_room = has_room(result.use, share);
+    const bool has_service_room = has_room(result.use, result.share_of_room);
     for (const auto* each : looked_at(pool, route, hash_of_flow(content))) {
         if (!each->takes_flows(now)) {
             continue;
@@ -366,7 +375,7 @@
              .is_in_region = region_of(each->entry.zone) == region_of(place_.zone),
              .is_near = each->entry.zone == place_.zone,
              .is_shunned = picture_.is_shunned(*each, now),
-             .has_room = has_service_room && has_room(use, share),
+             .has_room = has_service_room && has_room(use, result.share_of_room),
              .load = (use.here + use.elsewhere + 1) / use.slots,
              .answer_ms = flows_.signs(each->token).answer_ms});
     }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -93,6 +93,7 @@
         std::vector<candidate> candidates;
         service_use use;
         bool is_any_cold = false;  // and barred for that reason alone
+        double share_of_room = 1;  // that this flow may use
     };
 
     const discovery::target* just_opened_on(const segment& content, clock::time_point now) const;
@@ -107,7 +108,7 @@
                                         const observation& seen) const;
     const discovery::pool* pool_of(const discovery::route& route, std::uint64_t flow_hash) const;
     double share_of_room(const discovery::pool& pool, const discovery::route& route,
-                         const flow_key& flow) const;
+                         const flow_key& flow, clock::time_point now) const;
     eligible_targets eligible(const discovery::pool& pool, const discovery::route& route,
                               const segment& content, clock::time_point now);
     // The targets that an opening looks at, those of the own zone first.
--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -47,6 +47,7 @@
     std::uint32_t generation = 0;  // of its flows
     std::uint32_t opening_copies = 0;
     bool asks_long = false;
+    bool is_urgent = false;
     bool has_flow = false;
     bool is_waiting = false;  // for the answer to a request
     int step = 0;             // rises with each packet; older timers mean nothing then
@@ -86,6 +87,7 @@
             auto& made = callers_[static_cast<std::size_t>(i)];
             made.member = member_of(i);
             made.asks_long = i < std::lround(pattern.long_share * static_cast<double>(number));
+            made.is_urgent = is_urgent_number(i);
             made.zone = static_cast<std::size_t>(i) % fleet_.zones();
             const bool is_in_rush =
                 pattern.calm_load > 0 &&
@@ -123,6 +125,10 @@
             result.push_back({.name = "in time, short",
                               .value = static_cast<double>(short_in_time_) / short_asked_});
         }
+        if (pattern_.urgent_share > 0) {
+            result.push_back({.name = "in time, urgent",
+                              .value = static_cast<double>(urgent_in_time_) / urgent_asked_});
+        }
         if (fleet_.zones() > 1) {
             double least = 1;
             for (std::size_t i = 0; i < fleet_.zones(); ++i) {
@@ -140,6 +146,21 @@
         return is_light ? 1 + static_cast<std::uint32_t>(caller % (pattern_.members - 1)) : 0;
     }
 
+    // Spread evenly over the callers, so that both kinds are in every zone and in a rush.
+    bool is_urgent_number(int caller) const {
+        const auto count = [this](int callers) {
+            return std::floor(callers * pattern_.urgent_share);
+        };
+        return count(caller + 1) > count(caller);
+    }
+
+    static std::uint16_t port_of(const caller& subject) {
+        if (subject.asks_long) {
+            return overload_fleet::long_port;
+        }
+        return subject.is_urgent ? overload_fleet::urgent_port : overload_fleet::short_port;
+    }
+
     clock::duration pause() {
         std::exponential_distribution<double> pick{1 / mean_pause_ms};
         return clock::duration{1 + std::lround(pick(random_))};
@@ -158,6 +179,7 @@
                 ++zone_asked_[callers_[static_cast<std::size_t>(next.subject)].zone];
                 light_asked_ += is_light(next.subject) ? 1 : 0;
                 short_asked_ += callers_[static_cast<std::size_t>(next.subject)].asks_long ? 0 : 1;
+                urgent_asked_ += callers_[static_cast<std::size_t>(next.subject)].is_urgent ? 1 : 0;
                 ask(next.subject);
                 break;
             case event_kind::opened:
@@ -237,9 +259,7 @@
         subject.last.flow.caller = {
             .address = choice_.knows_callers ? subject.member : first_own_address + port,
             .port = static_cast<std::uint16_t>(port)};
-        subject.last.flow.route = {
-            .address = 1,
-            .port = subject.asks_long ? overload_fleet::long_port : overload_fleet::short_port};
+        subject.last.flow.route = {.address = 1, .port = port_of(subject)};
         subject.last.is_opening = true;
         const auto& near = fleet_.instances_of(subject.zone);
         subject.instance = near[random_() % near.size()];
@@ -407,6 +427,7 @@
         const auto objective = subject.asks_long ? pattern_.long_objective : pattern_.objective;
         const bool is_in_time = now_ - subject.asked <= objective;
         short_in_time_ += is_in_time && !subject.asks_long ? 1 : 0;
+        urgent_in_time_ += is_in_time && subject.is_urgent ? 1 : 0;
         ++(is_in_time ? in_time_ : late_);
         zone_in_time_[subject.zone] += is_in_time ? 1 : 0;
         light_in_time_ += is_in_time && is_light(index) ? 1 : 0;
@@ -446,6 +467,8 @@
     int light_in_time_ = 0;
     int short_asked_ = 0;
     int short_in_time_ = 0;
+    int urgent_asked_ = 0;
+    int urgent_in_time_ = 0;
 };
 
 }  // namespace
--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -35,6 +35,7 @@
     std::vector<int> instances_by_zone{};
     // Until a third of the run is over, only callers that make up this load come; 0: all do.
     double calm_load = 0;
+    double urgent_share = 0;  // of the callers ask by a route that operators rank first
 };
 
 struct overload_choice {
@@ -46,13 +47,15 @@
     bool checks_targets = true;  // that leave packets unanswered
     bool heeds_copies = true;
     bool ends_dead_flows = true;  // else callers wait for their deadlines
+    bool ranks_routes = true;     // else all that callers ask by have the same priority
 };
 
 std::vector<overload_pattern> all_overload_patterns();
 
 // "least in time, zone" is that of the callers of the zone that was served worst.
 // "in time" is the share of requests answered within the objective, counted from the first try;
-// "light" counts those of all members but the first, "short" those that don't ask for long work.
+// "light" counts those of all members but the first, "short" those that don't ask for long work,
+// "urgent" those by the route that is ranked first.
 std::vector<figure> play_overload(const overload_pattern& pattern, const overload_choice& choice,
                                   std::uint64_t seed);
 
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -45,17 +45,23 @@
 void overload_fleet::add_routes(clock::time_point start) {
     discovery::catalogue text;
     text.version = 1;
-    discovery::route route;
-    route.name = "feed";
-    route.address = {.address = 1, .port = short_port};
-    route.splits = {{.service = "board", .weight = 1}};
-    route.latency_objective = pattern_.objective;
-    route.is_idempotent = true;
-    text.routes = {route};
-    route.name = "archive";
-    route.address.port = long_port;
-    route.latency_objective = pattern_.long_objective;
-    text.routes.push_back(route);
+    const auto add = [&text](std::string name, std::uint16_t port, int priority,
+                             clock::duration objective) {
+        auto& route = text.routes.emplace_back();
+        route.name = std::move(name);
+        route.address = {.address = 1, .port = port};
+        route.splits = {{.service = "board", .weight = 1}};
+        route.priority = priority;
+        route.latency_objective = objective;
+        route.is_idempotent = true;
+    };
+    constexpr int first = 0;
+    constexpr int second = 1;
+    constexpr int third = 2;
+    add("unused", unused_port, first, pattern_.objective);
+    add("sign-off", urgent_port, choice_.ranks_routes ? second : third, pattern_.objective);
+    add("feed", short_port, third, pattern_.objective);
+    add("archive", long_port, third, pattern_.long_objective);
     text.services = {{.name = "board"}};
     known_.apply(text, 1, false, start);
 }
@@ -111,14 +117,12 @@
     for (std::size_t from = 0; from < instances_.size(); ++from) {
         const auto content = digest_of(instances_[from], now);
         const auto dead = instances_[from].inquiries->take_verdicts(now);
-        for (std::size_t to = 0; to < instances_.size(); ++to) {
-            if (to != from) {
-                instances_[to].digests->on_digest(instance_name(from), content, now);
-                for (const auto& each : dead) {
-                    const bool has_flows = instances_[to].core->flows().signs(each.token).flows > 0;
-                    instances_[to].inquiries->on_said_dead(instances_[from].name, each, has_flows,
-                                                           now);
-                }
+        for (const auto* receiver : instances_[from].digests->next_receivers()) {
+            auto& to = instances_[number_of_.at(receiver->name)];
+            to.digests->on_digest(instances_[from].name, content, now);
+            for (const auto& each : dead) {
+                const bool has_flows = to.core->flows().signs(each.token).flows > 0;
+                to.inquiries->on_said_dead(instances_[from].name, each, has_flows, now);
             }
         }
     }
--- a/services/bramleybench/overload_fleet.h
+++ b/services/bramleybench/overload_fleet.h
@@ -22,9 +22,11 @@
 
 class overload_fleet {
 public:
-    // Routes to the same service, with an objective each.
+    // Routes to the same service.
     static constexpr std::uint16_t short_port = 443;
     static constexpr std::uint16_t long_port = 444;
+    static constexpr std::uint16_t urgent_port = 445;
+    static constexpr std::uint16_t unused_port = 446;  // ranked first, and nobody asks by it
 
     overload_fleet(const overload_pattern& pattern, const overload_choice& choice,
                    clock::time_point start);
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -274,9 +274,9 @@
     }
     peer_digests digests{known, "p0", "", 1};
     steering::demand_by_service demands;
-    demands["board"].on_asked(start);
-    demands["board"].on_asked(start);
-    demands["plans"].on_asked(start);
+    demands["board"].on_asked(0, start);
+    demands["board"].on_asked(0, start);
+    demands["plans"].on_asked(0, start);
     wire::digest content;
     content.demands = digests.demands_of(demands, start);
     digests.on_digest("p1", content, start);
@@ -380,7 +380,7 @@
     steering::demand_by_service demands;
     for (const auto* service : {"board", "plans", "alerts", "archive", "readings"}) {
         for (int i = 0; i < 20'000; ++i) {
-            demands[service].on_asked(start);
+            demands[service].on_asked(0, start);
         }
     }
     content.demands = digests.demands_of(demands, start);
--- a/tests/steering_admission_test.cpp
+++ b/tests/steering_admission_test.cpp
@@ -149,12 +149,12 @@
     auto now = start;
     for (int i = 0; i < 200; ++i) {
         now += clock::duration{10};
-        demand.on_asked(now);
+        demand.on_asked(0, now);
     }
     EXPECT_NEAR(demand.recent(now), 50, 2);
     for (int i = 0; i < 500; ++i) {
         now += clock::duration{1};
-        demand.on_asked(now);
+        demand.on_asked(0, now);
     }
     EXPECT_GT(demand.recent(now), 300);
     EXPECT_LT(demand.recent(now + clock::duration{3'000}), 2);
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -53,6 +53,22 @@
     EXPECT_GT(with.at("in time"), 0.97 * without.at("in time"));
 }
 
+TEST(steering_overload, an_urgent_route_is_served_first_though_unused_routes_rank_before_it) {
+    // Three times the callers come, and the text lists a route of a higher rank that nobody asks
+    // by. Compared with that one, every route in use yielded alike, and the rank did nothing.
+    constexpr overload_choice unranked{.ranks_routes = false};
+    const auto with = figures("steer_ranked", {});
+    const auto without = figures("steer_ranked", unranked);
+    EXPECT_GT(with.at("in time, urgent"), 1.5 * without.at("in time, urgent"));
+    EXPECT_GT(with.at("in time"), 0.95 * without.at("in time"));
+}
+
+TEST(steering_overload, a_rank_costs_nothing_while_there_is_room) {
+    const auto calm = figures("steer_ranked_calm", {});
+    EXPECT_EQ(calm.at("failed"), 0);
+    EXPECT_GT(calm.at("in time"), 0.98);
+}
+
 TEST(steering_overload, nobody_is_turned_away_on_an_ordinary_day) {
     const auto usual = figures("steer_usual", {});
     EXPECT_EQ(usual.at("failed"), 0);
