Platform: Refuse a text whose route has no usable priority

Cause: a priority that was out of range or no number was read as 0, the highest, and put its route before all others.

--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -170,6 +170,22 @@
     EXPECT_DOUBLE_EQ(text.services[0].cold_flows_per_second, 2.5);
 }
 
+TEST(record_codec, refuses_a_configuration_whose_route_has_no_usable_priority) {
+    // Guards against a slip of an operator that puts a route before all others.
+    const auto with_priority = [](const std::string& value) {
+        return R"({"version":7,"routes":[{"name":"board","host":"198.18.0.1","prefix":"/80/",)"
+               R"("service":"s","priority":)" +
+               value + R"(}],"services":[{"name":"s"}]})";
+    };
+    for (const auto* value : {"-1", "1001", "\"first\"", "null", "[1]"}) {
+        const auto refused = read<discovery::unreadable>("op/config", with_priority(value));
+        EXPECT_EQ(refused.reason, std::string{"route board: priority is "} + value +
+                                      ", not a number from 0 to 1000");
+    }
+    EXPECT_EQ(read<discovery::catalogue>("op/config", with_priority("1000")).routes[0].priority,
+              1'000);
+}
+
 TEST(record_codec, reads_zones_that_are_out_and_back) {
     EXPECT_TRUE(read<discovery::zone_out>("op/evacuate/north", "{}").is_out);
     const auto back = record_codec{}.read_removal("op/evacuate/north");
