--- a/services/bramleybench/overload_experiment.cpp
+++ b/services/bramleybench/overload_experiment.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "overload_fleet.h"
+#include "overload_tally.h"
 
 namespace bramleytrack::experiments {
 namespace {
@@ -71,7 +72,11 @@
 class overload_run {
 public:
     overload_run(const overload_pattern& pattern, const overload_choice& choice, std::uint64_t seed)
-        : pattern_{pattern}, choice_{choice}, random_{seed}, fleet_{pattern, choice, epoch} {
+        : pattern_{pattern},
+          choice_{choice},
+          random_{seed},
+          fleet_{pattern, choice, epoch},
+          tally_{fleet_.zones()} {
         hosts_.resize(static_cast<std::size_t>(pattern.targets));
         const auto slow = std::lround(pattern.slow_share * pattern.targets);
         for (std::size_t i = 0; i < static_cast<std::size_t>(slow); ++i) {
@@ -94,8 +99,6 @@
                 i >= std::lround(pattern.calm_load / pattern.load * static_cast<double>(number));
             schedule(is_in_rush ? pattern.length / third + pause() : pause(), event_kind::ask, i);
         }
-        zone_asked_.resize(fleet_.zones());
-        zone_in_time_.resize(fleet_.zones());
         fleet_.on_probe(
             [this](std::size_t instance, std::size_t host) { begin_probe(instance, host); });
         schedule(pattern.length / third, event_kind::die, 0);
@@ -110,33 +113,7 @@
             now_ = next.at;
             handle(next);
         }
-        const auto share = [this](int count) {
-            return asked_ == 0 ? 0.0 : static_cast<double>(count) / asked_;
-        };
-        std::vector<figure> result{{.name = "in time", .value = share(in_time_)},
-                                   {.name = "late", .value = share(late_)},
-                                   {.name = "failed", .value = share(failed_)},
-                                   {.name = "shed by targets", .value = share(shed_)}};
-        if (light_asked_ > 0) {
-            result.push_back({.name = "in time, light",
-                              .value = static_cast<double>(light_in_time_) / light_asked_});
-        }
-        if (pattern_.long_share > 0) {
-            result.push_back({.name = "in time, short",
-                              .value = static_cast<double>(short_in_time_) / short_asked_});
-        }
-        if (pattern_.urgent_share > 0) {
-            result.push_back({.name = "in time, urgent",
-                              .value = static_cast<double>(urgent_in_time_) / urgent_asked_});
-        }
-        if (fleet_.zones() > 1) {
-            double least = 1;
-            for (std::size_t i = 0; i < fleet_.zones(); ++i) {
-                least = std::min(least, static_cast<double>(zone_in_time_[i]) / zone_asked_[i]);
-            }
-            result.push_back({.name = "least in time, zone", .value = least});
-        }
-        return result;
+        return tally_.figures(pattern_);
     }
 
 private:
@@ -173,14 +150,7 @@
     void handle(const event& next) {
         switch (next.kind) {
             case event_kind::ask:
-                callers_[static_cast<std::size_t>(next.subject)].asked = now_;
-                callers_[static_cast<std::size_t>(next.subject)].tries = 0;
-                ++asked_;
-                ++zone_asked_[callers_[static_cast<std::size_t>(next.subject)].zone];
-                light_asked_ += is_light(next.subject) ? 1 : 0;
-                short_asked_ += callers_[static_cast<std::size_t>(next.subject)].asks_long ? 0 : 1;
-                urgent_asked_ += callers_[static_cast<std::size_t>(next.subject)].is_urgent ? 1 : 0;
-                ask(next.subject);
+                begin_request(next.subject);
                 break;
             case event_kind::opened:
                 send_request(next.subject);
@@ -211,6 +181,14 @@
         }
     }
 
+    void begin_request(int index) {
+        auto& subject = callers_[static_cast<std::size_t>(index)];
+        subject.asked = now_;
+        subject.tries = 0;
+        tally_.on_asked(groups_of(subject));
+        ask(index);
+    }
+
     void begin_probe(std::size_t instance, std::size_t host) {
         schedule(hosts_[host].is_dead ? probe_limit : network, event_kind::probed,
                  static_cast<int>(instance), static_cast<int>(host));
@@ -232,7 +210,12 @@
         }
     }
 
-    bool is_light(int index) const { return callers_[static_cast<std::size_t>(index)].member > 0; }
+    static caller_groups groups_of(const caller& subject) {
+        return {.zone = subject.zone,
+                .is_light = subject.member > 0,
+                .asks_long = subject.asks_long,
+                .is_urgent = subject.is_urgent};
+    }
 
     steering::decision deliver(const caller& by, const steering::segment& content) {
         const auto made = fleet_.core(by.instance)
@@ -373,7 +356,7 @@
         auto& subject = callers_[static_cast<std::size_t>(index)];
         ++subject.step;
         subject.is_waiting = false;
-        ++failed_;
+        tally_.on_failed();
         schedule(pause(), event_kind::ask, index);
     }
 
@@ -389,7 +372,7 @@
         } else if (at.waiting.size() < static_cast<std::size_t>(pattern_.queue)) {
             at.waiting.push_back(index);
         } else {
-            ++shed_;
+            tally_.on_shed();
             close(index);
             schedule(network / 2, event_kind::opened, index);
         }
@@ -425,12 +408,7 @@
         ++subject.step;
         deliver(subject, subject.last);
         const auto objective = subject.asks_long ? pattern_.long_objective : pattern_.objective;
-        const bool is_in_time = now_ - subject.asked <= objective;
-        short_in_time_ += is_in_time && !subject.asks_long ? 1 : 0;
-        urgent_in_time_ += is_in_time && subject.is_urgent ? 1 : 0;
-        ++(is_in_time ? in_time_ : late_);
-        zone_in_time_[subject.zone] += is_in_time ? 1 : 0;
-        light_in_time_ += is_in_time && is_light(index) ? 1 : 0;
+        tally_.on_answered(groups_of(subject), now_ - subject.asked <= objective);
         if (pattern_.has_flow_each) {
             close(index);
         }
@@ -453,22 +431,10 @@
     std::mt19937_64 random_;
     clock::time_point now_ = epoch;
     overload_fleet fleet_;
+    overload_tally tally_;
     std::vector<host> hosts_;
     std::vector<caller> callers_;
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-    std::vector<int> zone_asked_;
-    std::vector<int> zone_in_time_;
-    int asked_ = 0;
-    int in_time_ = 0;
-    int late_ = 0;
-    int failed_ = 0;
-    int shed_ = 0;
-    int light_asked_ = 0;
-    int light_in_time_ = 0;
-    int short_asked_ = 0;
-    int short_in_time_ = 0;
-    int urgent_asked_ = 0;
-    int urgent_in_time_ = 0;
 };
 
 }  // namespace
