--- a/libraries/load/deadline_check.cpp
+++ b/libraries/load/deadline_check.cpp
@@ -11,9 +11,8 @@
 // Each round closes most of the gap to the fixed point: with others at 0.6 of the slots, 0.6 to the
 // power of six leaves 5% of it.
 constexpr int rounds_of_prediction = 6;
-// Others may ask for more than they did lately. While one member floods, the p99 delay of refusals
-// was 356 ms with a margin of 1, 345 with 1.25, 100 with 1.5 and 6 with 1.65 (bramleybench
-// --scenario flood); a larger one turns away what would have fitted.
+// Others may ask for more than they did lately, and what waited in vain is refused late; a larger
+// margin turns away what would have fitted.
 constexpr double wait_margin = 1.65;
 
 // Slots that an earlier owner may have filled are usually known to be free so soon: reports of the
--- a/libraries/load/placement.h
+++ b/libraries/load/placement.h
@@ -23,9 +23,7 @@
 };
 
 // The second candidate must be less loaded by this part to be asked first: each flow away from its
-// first candidate costs its home a record. 14 equal targets, 20,000 flows (bramleybench --scenario
-// placement_14 --threshold T --seeds 3): with 0, 0.5, 1 and 2% the p99 imbalance is 1.012, 1.013,
-// 1.014 and 1.020, and 41, 19, 9 and 4% of the flows are placed away from their first candidate.
+// first candidate costs its home a record.
 constexpr double second_choice_threshold = 0.01;
 
 // Indices of the candidates in the order in which they are to be asked.
--- a/libraries/load/service_time.h
+++ b/libraries/load/service_time.h
@@ -5,10 +5,8 @@
 // The mean and mean deviation are those of Jacobson (1988), with his weights of 1/8 and 1/4: a
 // target that becomes slow is seen within some ten answers, and one slow answer moves the mean by
 // an eighth of it. Reports of targets don't enter, since they lag and mislead.
-// Three deviations above the mean are taken as the longest: with two, 0.16% of the requests at
-// twice the load with tight deadlines were cut off while they ran, with three 0.09%, with four
-// 0.04%; the useful part of the slots' time was 0.912, 0.916 and 0.902 (bramleybench --scenario
-// tight_2x --seeds 2). A request that is cut off costs its slot until the owner gives it up.
+// Three deviations above the mean are taken as the longest: a request that is cut off costs its
+// slot until the owner gives it up, and a longer estimate turns away what would have fitted.
 #pragma once
 
 #include <array>
