Fleet: Count of a service's open requests only what is beyond doubt

Cause: admits by a sum that instances of other zones enter by one or two digests, each standing for thirty.

The sum now loses four standard deviations of the sampled part (requests at random: weight times weight less one). Zones that are heard whole lose nothing.

--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -18,6 +18,10 @@
 // tells of it says little of the others.
 constexpr double max_load_weight = 2;
 
+// Standard deviations: an estimate is made anew for each opening, so even a rare excess refuses
+// somebody.
+constexpr double deviations_of_doubt = 4;
+
 // Services are few, so 32 bits tell them apart in a digest.
 std::int32_t short_hash_of(std::string_view service) {
     return static_cast<std::int32_t>(hash_of(service));
@@ -154,6 +158,8 @@
             auto& sum = summary_.services[each.service_hash];
             sum.asked += each.asked * weight;
             sum.open += each.open * weight;
+            // Requests that come at random: their number varies by its own size.
+            sum.open_variance += each.open * weight * (weight - 1);
         }
     }
     return summary_;
@@ -198,8 +204,12 @@
     return found == known.end() ? service_sum{} : found->second;
 }
 
+// Failure: one instance of a far zone is heard, stands for thirty, and has a few requests of a
+// small service open just then. The service looks full, and callers are refused while its slots are
+// idle. So only what is beyond doubt counts.
 double peer_digests::open_elsewhere_of(std::string_view service, clock::time_point now) const {
-    return service_elsewhere(service, now).open;
+    const auto told = service_elsewhere(service, now);
+    return std::max(0.0, told.open - deviations_of_doubt * std::sqrt(told.open_variance));
 }
 
 double peer_digests::wanted_elsewhere(std::string_view service, clock::time_point now) const {
--- a/libraries/fleet/peer_digests.h
+++ b/libraries/fleet/peer_digests.h
@@ -79,6 +79,7 @@
     struct service_sum {
         double asked = 0;
         double open = 0;
+        double open_variance = 0;  // of what is open, as few instances stand for many
     };
 
     // What fresh digests say together.
