--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -158,7 +158,7 @@
             auto& sum = summary_.services[each.service_hash];
             sum.asked += each.asked * weight;
             sum.open += each.open * weight;
-            // Requests that come at random: their number varies by its own size.
+            // A sampled Poisson count: its variance is its mean, times what sampling adds.
             sum.open_variance += each.open * weight * (weight - 1);
         }
     }
