Tests, Bramleybench: Register peers and tell open requests in one place

Two tests of the told sums wrote again how peers are registered and how a digest comes about; add_peers serves them and three_zones, digest_of_open both. A comment of overload_choice stood above the wrong field.

--- a/services/bramleybench/overload_experiment.h
+++ b/services/bramleybench/overload_experiment.h
@@ -43,8 +43,8 @@
     bool shares_loads = true;    // digests of peers
     bool shares_demands = true;  // what callers ask of peers; else all room is each instance's own
     bool knows_callers = true;  // steering::caller_shares; else each flow has an address of its own
-    // Copies of openings go elsewhere and shun the target; else they are sent as first packets.
     bool checks_targets = true;  // that leave packets unanswered
+    // Copies of openings go elsewhere and shun the target; else they are sent as first packets.
     bool heeds_copies = true;
     bool ends_dead_flows = true;  // else callers wait for their deadlines
     bool ranks_routes = true;     // else all that callers ask by have the same priority
--- a/services/bramleybench/overload_fleet.cpp
+++ b/services/bramleybench/overload_fleet.cpp
@@ -83,7 +83,7 @@
     const auto number = instances_.size();
     const auto name = instance_name(number);
     number_of_[name] = number;
-    instances_of_zone_[zone].push_back(instances_.size());
+    instances_of_zone_[zone].push_back(number);
     auto& made = instances_.emplace_back();
     made.name = name;
     made.actions = std::make_unique<checks>(*this, number);
--- a/tests/fleet_sources_test.cpp
+++ b/tests/fleet_sources_test.cpp
@@ -311,21 +311,34 @@
     EXPECT_FALSE(told.contains("p0"));
 }
 
+void add_peers(discovery::directory& known, const std::string& zone, int number) {
+    for (int i = 0; i < number; ++i) {
+        known.apply(
+            discovery::peer_entry{
+                .name = zone + std::to_string(i), .zone = zone, .address = "", .pull_address = ""},
+            i, false, start);
+    }
+}
+
 // Forty peers in each of three zones.
 discovery::directory three_zones() {
     discovery::directory known;
     for (const auto* zone : {"north", "south", "west"}) {
-        for (int i = 0; i < 40; ++i) {
-            known.apply(discovery::peer_entry{.name = zone + std::to_string(i),
-                                              .zone = zone,
-                                              .address = "",
-                                              .pull_address = ""},
-                        i, false, start);
-        }
+        add_peers(known, zone, 40);
     }
     return known;
 }
 
+// Tells that so many requests are open on the service "board".
+wire::digest digest_of_open(const peer_digests& digests, int open) {
+    steering::demand_by_service demands;
+    demands["board"].on_asked(0, start);
+    wire::digest result;
+    result.demands = digests.demands_of(demands, steering::flow_watch{}, start);
+    result.demands.front().open = open;
+    return result;
+}
+
 TEST(peer_digests, most_receivers_are_of_the_own_zone_and_all_are_told_in_turn) {
     // Guards against signs of a target that reach one in five of those who have its flows.
     const auto known = three_zones();
@@ -367,20 +380,9 @@
     // Guards against a rush that is let in whole: targets are told of one by one only while they
     // are among the most loaded, and far zones by few instances, so sums over targets are too low.
     discovery::directory known;
-    for (int i = 0; i < 10; ++i) {
-        known.apply(discovery::peer_entry{.name = "far" + std::to_string(i),
-                                          .zone = "far",
-                                          .address = "",
-                                          .pull_address = ""},
-                    1, false, start);
-    }
+    add_peers(known, "far", 10);
     peer_digests digests{known, "near", "home", 1};
-    wire::digest content;
-    auto& report = content.demands.emplace_back();
-    steering::demand_by_service demands;
-    demands["board"].on_asked(0, start);
-    report = digests.demands_of(demands, steering::flow_watch{}, start).front();
-    report.open = 17;
+    const auto content = digest_of_open(digests, 17);
     digests.on_digest("far1", content, start);
     digests.on_digest("far2", content, start);
     // Ten times 17, less four standard deviations: each of the two heard stands for five.
@@ -391,19 +393,9 @@
 TEST(peer_digests, a_few_requests_of_one_far_peer_do_not_fill_a_service) {
     // Guards against callers of an idle service who are refused, as one far peer stands for thirty.
     discovery::directory known;
-    for (int i = 0; i < 30; ++i) {
-        known.apply(discovery::peer_entry{.name = "far" + std::to_string(i),
-                                          .zone = "far",
-                                          .address = "",
-                                          .pull_address = ""},
-                    1, false, start);
-    }
+    add_peers(known, "far", 30);
     peer_digests digests{known, "near", "home", 1};
-    steering::demand_by_service demands;
-    demands["board"].on_asked(0, start);
-    wire::digest content;
-    content.demands = digests.demands_of(demands, steering::flow_watch{}, start);
-    content.demands.front().open = 4;
+    const auto content = digest_of_open(digests, 4);
     digests.on_digest("far1", content, start);
     EXPECT_DOUBLE_EQ(digests.open_elsewhere_of("board", start), 0);
 }
