bramleybench: Simulate how a fleet receives its state after a restart

Cause: on the whole fleet (985 instances, 10,000 targets) no request is served for 18 s and more after all power is lost, with the store well. The instances log `started` and nothing after it.

The model runs the real store::feed and store::mirror of every instance in virtual time, against a store with an answer time, pages of 500 entries and a link that all share. One item stands for 50 entries.

Nobody completes a read, so the load never falls.

--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -7,6 +7,7 @@
 
 #include "baselines.h"
 #include "cold_experiment.h"
+#include "fleet_start_experiment.h"
 #include "load/placement.h"
 #include "overload_experiment.h"
 #include "placement_experiment.h"
@@ -153,12 +154,27 @@
     }
 }
 
+void run_fleet_starts(const benchmark_options& options) {
+    const fleet_start_features features;
+    for (const auto& pattern : all_fleet_start_patterns()) {
+        if (!is_selected(options, pattern.name) && options.scenario != "fleet_start") {
+            continue;
+        }
+        const auto figures = mean_of(options.seeds, [&](std::uint64_t seed) {
+            return simulate_fleet_start(pattern, features, seed);
+        });
+        print_figures(options, pattern.name, "instances receive their state after a restart",
+                      figures);
+    }
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
     benchmark_options options;
     bramleytrack::settings::command_line line{"[OPTION...]"};
-    line.option("scenario", options.scenario, "the load pattern to simulate, or all")
+    line.option("scenario", options.scenario,
+                "the pattern to simulate, fleet_start for all of that kind, or all")
         .option("without", options.without, "decisions to replace by their baselines: a,b,...")
         .option("seeds", options.seeds, "number of seeds to run, from 1 on")
         .option("threshold", options.threshold, "of the second candidate, see load/placement.h")
@@ -169,6 +185,7 @@
         run_placements(options);
         run_cold_starts(options);
         run_overloads(options);
+        run_fleet_starts(options);
     } catch (const std::exception& error) {
         std::fprintf(stderr, "%s\n", error.what());
         return usage_exit_status;
