Store: Ask only a failed page again, and give up a page only when no byte arrives

Cause: a page had to arrive whole within its timeout of 1 s, a page that failed dropped all pages before it, and 350 ms after the beginning of the whole read a second one began, also when the first made progress. When many instances read at once, the store's link is full with reads that nobody completes.

Now the timeout of a page is the longest time without a byte, only the missing page is requested again (from the same position, up to 10 s later), and a second request for a page is sent only when no byte has arrived for 350 ms. A read confirms the time of its first request, not that of its last page. A store that is unreachable from the start is logged: before, the log ended with `started`.

Ruled out: a longer timeout alone. It moves the size at which the read fails, not the cause.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -60,7 +60,7 @@
         parser_.data = this;
         output_ = format_request_head(call_) + call_.body;
         timeout_timer_.set<connection, &connection::on_timeout>(this);
-        timeout_timer_.start(static_cast<double>(call_.timeout.count()) / milliseconds_per_second);
+        start_timeout();
         if (!is_reused_ && !connect()) {
             // Reports the failure from the event loop, so that the callback doesn't run before
             // call() has returned. This doesn't hold for a reused connection: if write() fails
@@ -77,6 +77,11 @@
     }
 
 private:
+    void start_timeout() {
+        timeout_timer_.stop();
+        timeout_timer_.start(static_cast<double>(call_.timeout.count()) / milliseconds_per_second);
+    }
+
     bool connect() {
         socket_ = begin_connect(address_);
         if (!socket_.is_open()) {
@@ -106,6 +111,10 @@
         const bool is_open = read_available(socket_.get(), input);
         if (!input.empty() && !is_idle_) {
             has_response_data_ = true;
+            owner_.last_received_at_ = clock::now();
+            if (call_.scope == timeout_scope::between_bytes) {
+                start_timeout();
+            }
             const auto parsed =
                 http_parser_execute(&parser_, &settings_, input.data(), input.size());
             const bool is_malformed =
@@ -243,8 +252,7 @@
     selected->send_request(std::move(request), std::move(done));
 }
 
-void http_client::call_url(std::string_view method, std::string_view url, std::string body,
-                           clock::duration timeout, http_callback done) {
+void http_client::call_url(std::string_view url, http_call request, http_callback done) {
     constexpr std::string_view scheme = "http://";
     const auto authority_and_path =
         url.starts_with(scheme) ? url.substr(scheme.size()) : std::string_view{};
@@ -255,21 +263,21 @@
         return;
     }
     const auto path = authority_and_path.substr(slash);
-    call({.method = std::string{method},
-          .address = *address,
-          .path = path.empty() ? "/" : std::string{path},
-          .body = std::move(body),
-          .timeout = timeout},
-         std::move(done));
+    request.address = *address;
+    request.path = path.empty() ? "/" : std::string{path};
+    call(std::move(request), std::move(done));
 }
 
-void http_client::get(std::string_view url, clock::duration timeout, http_callback done) {
-    call_url("GET", url, {}, timeout, std::move(done));
+void http_client::get(std::string_view url, clock::duration timeout, http_callback done,
+                      timeout_scope scope) {
+    call_url(url, {.method = "GET", .path = {}, .body = {}, .timeout = timeout, .scope = scope},
+             std::move(done));
 }
 
 void http_client::put(std::string_view url, std::string body, clock::duration timeout,
                       http_callback done) {
-    call_url("PUT", url, std::move(body), timeout, std::move(done));
+    call_url(url, {.method = "PUT", .path = {}, .body = std::move(body), .timeout = timeout},
+             std::move(done));
 }
 
 }  // namespace bramleytrack::net
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -7,8 +7,8 @@
 
 constexpr std::string_view all_keys;  // the empty prefix
 constexpr int max_doublings = 3;
-// More than two concurrent reads would only add load to a slow store.
-constexpr std::size_t max_parallel_reads = 2;
+// More than two concurrent requests for a page would only add load to a slow store.
+constexpr std::size_t max_page_calls = 2;
 
 }  // namespace
 
@@ -30,70 +30,83 @@
         }
         return;
     }
-    const bool is_late = phase_ == phase::reading && reads_.size() < max_parallel_reads &&
-                         now - read_started_ >= limits_.hedge_delay;
-    if (is_late) {
-        start_read(now);
+    if (phase_ == phase::reading && is_page_late(now)) {
+        request_page(now);
     }
 }
 
+bool feed::is_page_late(clock::time_point now) const {
+    const auto last_progress = std::max(read_->page_requested_at, store_.last_received_at());
+    return read_->page_calls.size() < max_page_calls && now - last_progress >= limits_.hedge_delay;
+}
+
 void feed::reread(clock::time_point now) {
     if (phase_ == phase::reading) {
         return;
     }
     must_read_ = true;
+    read_.reset();
     start_read(now);
 }
 
 void feed::start_read(clock::time_point now) {
     phase_ = phase::reading;
-    read_started_ = now;
     watch_call_id_ = 0;
-    const auto call_id = ++last_call_id_;
-    reads_.push_back(
-        {.call_id = call_id, .freshness = freshness(), .items = {}, .revision = std::nullopt});
-    request_page({}, call_id, now);
+    const bool can_continue = read_ && read_->freshness == freshness() &&
+                              now - read_->page_arrived_at <= limits_.max_page_age;
+    if (!can_continue) {
+        read_.emplace();
+        read_->freshness = freshness();
+        read_->started_at = now;
+    }
+    request_page(now);
 }
 
-void feed::request_page(const std::string& after_key, std::int64_t call_id,
-                        clock::time_point sent_at) {
+void feed::request_page(clock::time_point now) {
     ++calls_;
-    store_.range(all_keys, after_key, freshness(), limits_.read_timeout,
-                 [this, call_id, sent_at](const outcome<page>& response, clock::time_point now) {
-                     on_page(call_id, sent_at, response, now);
+    const auto call_id = ++last_call_id_;
+    read_->page_calls.push_back(call_id);
+    read_->page_requested_at = now;
+    const auto after_key = read_->items.empty() ? std::string{} : read_->items.back().key;
+    store_.range(all_keys, after_key, read_->freshness, limits_.read_timeout,
+                 [this, call_id](const outcome<page>& response, clock::time_point responded_at) {
+                     on_page(call_id, response, responded_at);
                  });
 }
 
-void feed::on_page(std::int64_t call_id, clock::time_point sent_at, const outcome<page>& response,
-                   clock::time_point now) {
-    const auto current = std::ranges::find(reads_, call_id, &reading::call_id);
-    if (current == reads_.end()) {
+void feed::on_page(std::int64_t call_id, const outcome<page>& response, clock::time_point now) {
+    if (!read_ || std::erase(read_->page_calls, call_id) == 0) {
         return;
     }
     const auto* result = std::get_if<page>(&response);
     if (result == nullptr) {
-        reads_.erase(current);
-        if (reads_.empty()) {
+        if (read_->page_calls.empty()) {
             fail(std::get<result_code>(response), now);
         }
         return;
     }
-    current->items.insert(current->items.end(), result->items.begin(), result->items.end());
+    succeed(now);
+    read_->page_calls.clear();
+    read_->page_arrived_at = now;
+    read_->items.insert(read_->items.end(), result->items.begin(), result->items.end());
     // Pages that may be seconds old can arrive with decreasing revisions.
-    current->revision = std::min(current->revision.value_or(result->revision), result->revision);
+    read_->revision = std::min(read_->revision.value_or(result->revision), result->revision);
     if (result->has_more && !result->items.empty()) {
-        request_page(result->items.back().key, call_id, now);
-        return;
+        request_page(now);
+    } else {
+        finish_read(now);
     }
-    const auto finished_read = std::move(*current);
-    reads_.clear();
+}
+
+void feed::finish_read(clock::time_point now) {
+    const auto finished = std::move(*read_);
+    read_.reset();
     must_read_ = false;
     phase_ = phase::idle;
-    succeed(now);
-    if (finished_read.freshness == read_freshness::newest) {
-        confirmed_at_ = std::max(confirmed_at_, sent_at);
+    if (finished.freshness == read_freshness::newest) {
+        confirmed_at_ = std::max(confirmed_at_, finished.started_at);
     }
-    const auto changes = mirror_.replace(finished_read.items, *finished_read.revision);
+    const auto changes = mirror_.replace(finished.items, *finished.revision);
     is_complete_ = true;
     publish(changes, now);
     next_call_at_ = now;
@@ -150,12 +163,7 @@
     if (failed_at_ != clock::time_point{}) {
         unreachable_at_ = now;
     }
-    if (!is_reachable_) {
-        is_reachable_ = true;
-        if (state_callback_) {
-            state_callback_(true, result_code::ok, consecutive_failures_, now);
-        }
-    }
+    report_state(true, result_code::ok, now);
     consecutive_failures_ = 0;
     failed_at_ = clock::time_point{};
 }
@@ -170,11 +178,15 @@
     std::uniform_int_distribution<std::int64_t> jitter{max_delay.count() / 2, max_delay.count()};
     next_call_at_ = now + clock::duration{jitter(random_)};
     ++consecutive_failures_;
-    if (is_reachable_) {
-        is_reachable_ = false;
-        if (state_callback_) {
-            state_callback_(false, reason, consecutive_failures_, now);
-        }
+    report_state(false, reason, now);
+}
+
+void feed::report_state(bool is_reachable, result_code reason, clock::time_point now) {
+    const bool is_news = !is_state_reported_ || is_reachable != is_reachable_;
+    is_reachable_ = is_reachable;
+    if (is_news && state_callback_) {
+        is_state_reported_ = true;
+        state_callback_(is_reachable, reason, consecutive_failures_, now);
     }
 }
 
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -8,6 +8,11 @@
 // while the connection stays open; the history may be lost. Each call has its own
 // timeout, and a failure is retried within a second unless watches are disabled. All keys are read
 // again whenever changes may have been missed.
+//
+// Many instances may read at once and fill the store's link. A read then takes long, but it keeps
+// the pages that it has, requests only the missing one again, and sends no second request for a
+// page while bytes arrive: otherwise the requests of instances that give up would keep the link
+// full, and none would ever complete.
 #pragma once
 
 #include <algorithm>
@@ -23,11 +28,17 @@
 namespace bramleytrack::store {
 
 struct feed_limits {
-    // A read normally takes 4 ms, and 60 times as long when the store is slow.
+    // The longest time without a byte of a page. A page normally takes 4 ms, and 60 times as long
+    // when the store is slow.
     clock::duration read_timeout{1'000};
-    // After this delay a second read starts on another connection. Without it, a lost read would
-    // cost the whole timeout at startup, when nothing can be routed before the first read.
+    // After this delay without a byte from the store, the page is requested again on another
+    // connection. Without it, a lost response would cost the whole timeout at startup, when nothing
+    // can be routed before the first read.
     clock::duration hedge_delay{350};
+    // The pages of an interrupted read are dropped when the last one arrived longer ago. The watch
+    // that follows a read begins at the revision of its oldest page, which the store may remove
+    // from its history after 20 s.
+    clock::duration max_page_age{10'000};
     // A watch may be stalled: its response was lost, or the store dropped it. A change must arrive
     // within 3 s, so a watch including its response margin is shorter than that. Its calls are few
     // compared with those caused by changes.
@@ -55,8 +66,8 @@
 public:
     // The changes in order; empty when a response only confirmed the state of the mirror.
     using change_callback = std::function<void(std::span<const event>, clock::time_point now)>;
-    // The store became unreachable or reachable again. `consecutive_failures` counts those since
-    // the last response.
+    // The store became unreachable or reachable again; also called for the first failure or
+    // response. `consecutive_failures` counts those since the last response.
     using state_callback = std::function<void(bool is_reachable, result_code reason,
                                               int consecutive_failures, clock::time_point now)>;
 
@@ -80,13 +91,13 @@
     // Whether neither a watch nor a read is pending after the first read, so that changes should be
     // pulled from a peer instead: during pauses and retry delays, and while watches are disabled.
     bool is_idle() const { return is_complete_ && phase_ == phase::idle; }
-    // Reads all keys now; called when the watch seems to be stalled.
+    // Reads all keys now, from the first page on; called when the watch seems to be stalled.
     void reread(clock::time_point now);
 
     // Whether all keys were read at least once.
     bool is_complete() const { return is_complete_; }
     bool is_reachable() const { return is_reachable_; }
-    // The time at which the mirror was last confirmed to be current: when the last page of a read
+    // The time at which the mirror was last confirmed to be current: when the first page of a read
     // of the newest state was requested, when a watch was sent, or when the wait of a watch ended
     // without events.
     clock::time_point confirmed_at() const { return confirmed_at_; }
@@ -100,26 +111,32 @@
 private:
     enum class phase { idle, reading, watching };
 
+    // Begins a read, or continues the interrupted one.
     void start_read(clock::time_point now);
-    void request_page(const std::string& after_key, std::int64_t call_id,
-                      clock::time_point sent_at);
+    void request_page(clock::time_point now);
     read_freshness freshness() const {
         return is_complete_ ? read_freshness::newest : read_freshness::seconds_old;
     }
-    void on_page(std::int64_t call_id, clock::time_point sent_at, const outcome<page>& response,
-                 clock::time_point now);
+    bool is_page_late(clock::time_point now) const;
+    void on_page(std::int64_t call_id, const outcome<page>& response, clock::time_point now);
+    void finish_read(clock::time_point now);
     void start_watch(clock::time_point sent_at);
     void on_watch_result(std::int64_t call_id, clock::time_point sent_at,
                          const outcome<watch_result>& response, clock::time_point now);
     void succeed(clock::time_point now);
     void fail(result_code reason, clock::time_point now);
+    void report_state(bool is_reachable, result_code reason, clock::time_point now);
     void publish(std::span<const event> events, clock::time_point now);
 
     struct reading {
-        std::int64_t call_id = 0;  // the same for all pages of the read
         read_freshness freshness = read_freshness::newest;
-        std::vector<item> items;
-        std::optional<std::int64_t> revision;  // lowest revision of the pages
+        clock::time_point started_at;
+        std::vector<item> items;               // of the pages that have arrived
+        std::optional<std::int64_t> revision;  // lowest revision of these pages
+        clock::time_point page_arrived_at;     // the last one
+        // The pending requests for the next page. Responses to other requests are ignored as late.
+        std::vector<std::int64_t> page_calls;
+        clock::time_point page_requested_at;
     };
 
     client& store_;
@@ -129,16 +146,15 @@
     change_callback change_callback_;
     state_callback state_callback_;
     phase phase_ = phase::idle;
-    // Responses to reads that are not in this list, or to a watch that isn't `watch_call_id_`, are
-    // ignored as late.
-    std::vector<reading> reads_;
-    std::int64_t watch_call_id_ = 0;  // 0: no watch is pending
+    // The read in progress, or an interrupted one whose pages are kept.
+    std::optional<reading> read_;
+    // A response to another watch is ignored as late. 0: no watch is pending.
+    std::int64_t watch_call_id_ = 0;
     std::int64_t last_call_id_ = 0;
     std::int64_t calls_ = 0;
     int consecutive_failures_ = 0;
     std::size_t expected_watchers_ = 1;
     clock::time_point next_call_at_;
-    clock::time_point read_started_;
     clock::time_point confirmed_at_;
     clock::time_point failed_at_;
     clock::time_point unreachable_at_;
@@ -146,6 +162,7 @@
     bool must_read_ = true;
     bool is_complete_ = false;
     bool is_reachable_ = false;
+    bool is_state_reported_ = false;  // to state_callback_, at least once
 };
 
 }  // namespace bramleytrack::store
--- a/libraries/store/store.h
+++ b/libraries/store/store.h
@@ -104,9 +104,15 @@
     client& operator=(const client&) = delete;
     virtual ~client() = default;
 
+    // When a byte of any response last arrived; the epoch if never. Tells a response that is slow
+    // from one that is lost.
+    virtual clock::time_point last_received_at() const = 0;
+
     virtual void get(std::string_view key, clock::duration timeout,
                      callback<lookup_result> done) = 0;
-    // Items whose key begins with `prefix` and sorts after `after_key`.
+    // Items whose key begins with `prefix` and sorts after `after_key`. A page may be large and
+    // many instances may read at once, so `timeout` is the longest time without a byte of the
+    // response.
     virtual void range(std::string_view prefix, std::string_view after_key,
                        read_freshness freshness, clock::duration timeout, callback<page> done) = 0;
     // Responds at the first change after `revision`, or without events after `wait`.
--- a/services/bramleybench/fleet_start_experiment.h
+++ b/services/bramleybench/fleet_start_experiment.h
@@ -24,7 +24,7 @@
 struct fleet_start_features {
     // A byte of a response restarts the timeout of its page; otherwise the whole page must arrive
     // within it.
-    bool has_progress_timeouts = false;
+    bool has_progress_timeouts = true;
 };
 
 // Fleets of 100 to 2,000 instances with ten targets each, restarted whole, by a fifth (a zone) and
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -155,7 +155,11 @@
 }
 
 void run_fleet_starts(const benchmark_options& options) {
-    const fleet_start_features features;
+    fleet_start_features features;
+    for (const auto& name : split(options.without)) {
+        features.has_progress_timeouts =
+            features.has_progress_timeouts && name != "progress_timeouts";
+    }
     for (const auto& pattern : all_fleet_start_patterns()) {
         if (!is_selected(options, pattern.name) && options.scenario != "fleet_start") {
             continue;
--- /dev/null
+++ b/tests/fleet_start_test.cpp
@@ -0,0 +1,34 @@
+// Fleet: how a fleet receives its state after a restart, simulated with the real classes.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "fleet_start_experiment.h"
+
+namespace bramleytrack {
+namespace {
+
+using experiments::fleet_start_features;
+using experiments::fleet_start_pattern;
+
+std::map<std::string, double> figures(const fleet_start_pattern& pattern,
+                                      const fleet_start_features& features = {}) {
+    std::map<std::string, double> result;
+    for (const auto& each : experiments::simulate_fleet_start(pattern, features, 1)) {
+        result[each.name] = each.value;
+    }
+    return result;
+}
+
+// A fifth of the planned fleet at a fifth of the store's link.
+const fleet_start_pattern all_through_a_narrow_link{
+    .name = "narrow", .instances = 200, .restarted_fraction = 1, .store_link_mbps = 200};
+
+TEST(fleet_start, ends_although_a_page_takes_longer_than_its_timeout) {
+    // Guards against a fleet that never serves again after a power loss: the reads of all fill the
+    // store's link, each page misses its timeout, and every read begins anew.
+    EXPECT_EQ(figures(all_through_a_narrow_link)["ready"], 200);
+}
+
+}  // namespace
+}  // namespace bramleytrack
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -109,6 +109,69 @@
     EXPECT_EQ(mirror_.items().size(), 1U);
 }
 
+TEST_F(store_feed, sends_no_second_request_for_a_page_whose_bytes_arrive) {
+    // Guards against hundreds of starting instances that each read everything twice because the
+    // store's link is full.
+    feed_.tick(start);
+    for (int i = 1; i <= 20; ++i) {
+        store_.received_at = start + clock::duration{100} * i;
+        feed_.tick(store_.received_at);
+    }
+    EXPECT_EQ(store_.ranges.size(), 1U);
+    feed_.tick(store_.received_at + clock::duration{350});
+    EXPECT_EQ(store_.ranges.size(), 2U);
+}
+
+TEST_F(store_feed, requests_only_the_missing_page_again) {
+    // Guards against a start that never ends: if a lost page cost all pages before it, no read of
+    // many pages would complete while one call in three fails.
+    feed_.tick(start);
+    store_.ranges[0].done(
+        store::page{.items = {make_item("a", 3)}, .has_more = true, .revision = 5}, start);
+    ASSERT_EQ(store_.ranges.size(), 2U);
+    store_.ranges[1].done(result_code::store_unavailable, start);
+    EXPECT_FALSE(feed_.is_complete());
+    feed_.tick(start + clock::duration{100});
+    ASSERT_EQ(store_.ranges.size(), 3U);
+    EXPECT_EQ(store_.ranges[2].after_key, "a");
+    store_.ranges[2].done(
+        store::page{.items = {make_item("b", 6)}, .has_more = false, .revision = 7},
+        start + clock::duration{110});
+    EXPECT_TRUE(feed_.is_complete());
+    EXPECT_EQ(mirror_.size(), 2U);
+    EXPECT_EQ(mirror_.revision(), 5);
+}
+
+TEST_F(store_feed, drops_the_pages_of_a_read_that_was_interrupted_for_long) {
+    // Guards against a watch from a revision that the store no longer has in its history.
+    feed_.tick(start);
+    store_.ranges[0].done(
+        store::page{.items = {make_item("a", 3)}, .has_more = true, .revision = 5}, start);
+    store_.ranges[1].done(result_code::store_unavailable, start);
+    feed_.tick(start + clock::duration{10'100});
+    ASSERT_EQ(store_.ranges.size(), 3U);
+    EXPECT_EQ(store_.ranges[2].after_key, "");
+}
+
+TEST_F(store_feed, a_read_of_several_pages_confirms_the_time_of_its_first_request) {
+    // Guards against a state that counts as current although its first page was read long before.
+    become_watching(start);
+    feed_.reread(start + clock::duration{100});
+    store_.ranges.back().done(
+        store::page{.items = {make_item("a", 3)}, .has_more = true, .revision = 5},
+        start + clock::duration{700});
+    complete_read({make_item("b", 4)}, 5, start + clock::duration{900});
+    EXPECT_EQ(feed_.confirmed_at(), start + clock::duration{100});
+}
+
+TEST_F(store_feed, reports_a_store_that_is_unreachable_from_the_start) {
+    // Without the report, the log of an instance that never becomes ready ends with its start.
+    feed_.tick(start);
+    store_.ranges.back().done(result_code::store_unavailable, start);
+    ASSERT_EQ(states_.size(), 1U);
+    EXPECT_FALSE(states_.back());
+}
+
 TEST_F(store_feed, a_failed_watch_is_followed_by_a_read_within_a_second) {
     // The store is unreachable for four seconds. A watch from the old revision would miss changes
     // made meanwhile if the history was lost, so all keys are read.
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -38,6 +38,9 @@
     std::vector<commit_call> commits;
     std::vector<lease_call> leases;
     std::vector<std::int64_t> ended_leases;
+    clock::time_point received_at;  // the result of last_received_at()
+
+    clock::time_point last_received_at() const override { return received_at; }
 
     void get(std::string_view key, clock::duration /*timeout*/,
              store::callback<store::lookup_result> done) override {
