Fleet: Receive the state of a starting instance from peers, and read the store through few

After a pull from a seed the store was read as well, because the feed counted as incomplete.

Who is reading or busy says so, and then nobody else begins to read. - `fleet/startup_sync` carries the plan out; the model and the daemon run the same class. - `fleet/transfer_budget`: copies that leave within 500 ms of half of the own link are accepted; a sender answers 429 otherwise. A copy is encoded once a second at most, and claims the age that it may reach. - An instance registers once its shard is listed, so that others find it after a long power loss. - Settings: `link_mbps`; log: `initial_state` with its duration, listings, store calls and peer queries.

--- a/libraries/discovery/records.h
+++ b/libraries/discovery/records.h
@@ -85,6 +85,7 @@
     std::string zone;
     std::string address;       // ip:port at which it receives digests, UDP
     std::string pull_address;  // ip:port from which its state can be pulled, HTTP
+    double link_mbps = 0;      // the rate of its link, megabits per second; 0: not reported
 };
 
 struct peer_removed {
--- a/libraries/settings/steering_settings.cpp
+++ b/libraries/settings/steering_settings.cpp
@@ -74,6 +74,8 @@
 
 constexpr std::string_view seeds_key = "seeds";
 constexpr std::string_view zones_key = "zones";
+constexpr std::string_view link_rate_key = "link_mbps";
+constexpr double max_link_mbps = 1e6;
 
 constexpr std::string_view admission_key = "admission";
 
@@ -217,6 +219,20 @@
     return true;
 }
 
+// The key is optional; null counts as missing, because the platform may not know the rate.
+bool read_link_rate(const json& root, steering_settings& result) {
+    const auto found = root.find(link_rate_key);
+    if (found == root.end() || found->is_null()) {
+        return true;
+    }
+    const double rate = found->is_number() ? found->get<double>() : -1;
+    if (!(rate > 0 && rate <= max_link_mbps)) {
+        return false;
+    }
+    result.link_mbps = rate;
+    return true;
+}
+
 std::vector<fault> read_keys(const json& root, steering_settings& result) {
     std::vector<fault> faults;
     std::vector<std::string_view> names;
@@ -271,6 +287,10 @@
         faults.push_back(
             invalid_value(root, seeds_key, "a list of numeric ip:port, which may be empty"));
     }
+    names.push_back(link_rate_key);
+    if (!read_link_rate(root, result)) {
+        faults.push_back(invalid_value(root, link_rate_key, "a number above 0, at most 1000000"));
+    }
     names.push_back(admission_key);
     std::ranges::move(read_admission(root, result), std::back_inserter(faults));
     for (const auto& [name, value] : root.items()) {
--- a/libraries/settings/steering_settings.h
+++ b/libraries/settings/steering_settings.h
@@ -36,7 +36,9 @@
     std::vector<std::string> seeds;  // pull addresses of some instances, which may be stale
     std::string store_address;       // HTTP, the platform's store
     std::string fleet_passphrase;    // authenticates peers
-    clock::duration stop_grace{0};   // time between SIGTERM and SIGKILL
+    // The rate of this instance's link in megabits per second; 0 if the settings don't tell it.
+    double link_mbps = 0;
+    clock::duration stop_grace{0};  // time between SIGTERM and SIGKILL
     // The longest time for which a flow can continue after its target's entry was removed from the
     // store.
     clock::duration flow_lifetime{0};
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -20,7 +20,7 @@
 
 void feed::tick(clock::time_point now) {
     if (phase_ == phase::idle && now >= next_call_at_) {
-        if (is_complete_ && !is_watch_enabled_) {
+        if ((is_complete_ && !is_watch_enabled_) || !may_request_page()) {
             return;
         }
         if (must_read_) {
@@ -35,13 +35,36 @@
     }
 }
 
+bool feed::is_first_read_progressing(clock::time_point now) const {
+    return !is_complete_ && phase_ == phase::reading &&
+           now - std::max(read_->page_requested_at, store_.last_received_at()) <
+               limits_.hedge_delay;
+}
+
+bool feed::may_request_page() const {
+    const bool has_page = read_ && !read_->items.empty();
+    return is_complete_ || first_read_ == read_extent::everything ||
+           (first_read_ == read_extent::first_page && !has_page);
+}
+
+void feed::skip_first_read(clock::time_point now) {
+    if (is_complete_) {
+        return;
+    }
+    read_.reset();
+    phase_ = phase::idle;
+    must_read_ = false;
+    is_complete_ = true;
+    next_call_at_ = now;
+}
+
 bool feed::is_page_late(clock::time_point now) const {
     const auto last_progress = std::max(read_->page_requested_at, store_.last_received_at());
     return read_->page_calls.size() < max_page_calls && now - last_progress >= limits_.hedge_delay;
 }
 
 void feed::reread(clock::time_point now) {
-    if (phase_ == phase::reading) {
+    if (phase_ == phase::reading || !is_complete_) {
         return;
     }
     must_read_ = true;
@@ -91,10 +114,13 @@
     read_->items.insert(read_->items.end(), result->items.begin(), result->items.end());
     // Pages that may be seconds old can arrive with decreasing revisions.
     read_->revision = std::min(read_->revision.value_or(result->revision), result->revision);
-    if (result->has_more && !result->items.empty()) {
+    if (!result->has_more || result->items.empty()) {
+        finish_read(now);
+    } else if (may_request_page()) {
         request_page(now);
     } else {
-        finish_read(now);
+        phase_ = phase::idle;
+        next_call_at_ = now;
     }
 }
 
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -62,6 +62,9 @@
     clock::duration max_retry_delay{800};
 };
 
+// How much of the store the first read may cover.
+enum class read_extent { nothing, first_page, everything };
+
 class feed {
 public:
     // The changes in order; empty when a response only confirmed the state of the mirror.
@@ -82,6 +85,11 @@
     // retries. An instance that receives the store's changes from a peer needs none. A call that is
     // pending continues, including the hedge of a read, and reread() works in any case.
     void set_watch_enabled(bool is_enabled) { is_watch_enabled_ = is_enabled; }
+    // Limits the first read; it stops after the page in progress and continues when it may cover
+    // more. Everything is allowed unless this is called.
+    void set_first_read(read_extent extent) { first_read_ = extent; }
+    // The mirror has received the complete state from a peer, so no first read is needed.
+    void skip_first_read(clock::time_point now);
     // The number of instances that are expected to watch. The pause after events is multiplied by
     // it: together they cost as many calls as one watcher, and one of them receives a change as
     // soon as a single watcher would.
@@ -94,6 +102,8 @@
     // Reads all keys now, from the first page on; called when the watch seems to be stalled.
     void reread(clock::time_point now);
 
+    // Whether the first read is in progress and the store sends it.
+    bool is_first_read_progressing(clock::time_point now) const;
     // Whether all keys were read at least once.
     bool is_complete() const { return is_complete_; }
     bool is_reachable() const { return is_reachable_; }
@@ -118,6 +128,8 @@
         return is_complete_ ? read_freshness::newest : read_freshness::seconds_old;
     }
     bool is_page_late(clock::time_point now) const;
+    // Whether the next page of the read in progress, or the first one, may be requested.
+    bool may_request_page() const;
     void on_page(std::int64_t call_id, const outcome<page>& response, clock::time_point now);
     void finish_read(clock::time_point now);
     void start_watch(clock::time_point sent_at);
@@ -158,6 +170,7 @@
     clock::time_point confirmed_at_;
     clock::time_point failed_at_;
     clock::time_point unreachable_at_;
+    read_extent first_read_ = read_extent::everything;
     bool is_watch_enabled_ = true;
     bool must_read_ = true;
     bool is_complete_ = false;
--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -59,7 +59,7 @@
 }
 
 std::optional<std::vector<event>> mirror::changes_since(std::int64_t revision) const {
-    if (revision < history_floor_) {
+    if (!has_changes_since(revision)) {
         return std::nullopt;
     }
     std::vector<event> result;
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -49,6 +49,8 @@
 
     // All items, for a peer that lacks them.
     std::vector<item> items() const;
+    // Whether changes_since() holds all changes after `revision`.
+    bool has_changes_since(std::int64_t revision) const { return revision >= history_floor_; }
     // The newest event of each key that changed after `revision`, ordered by revision; nullopt when
     // some of these events may have been dropped.
     std::optional<std::vector<event>> changes_since(std::int64_t revision) const;
--- a/services/bramleybench/baselines.cpp
+++ b/services/bramleybench/baselines.cpp
@@ -64,11 +64,11 @@
 
 load::strategies strategies_without(const std::vector<std::string>& names) {
     auto table = load::default_strategies();
-    constexpr std::array<std::string_view, 13> flow_decisions{
-        "shared_demands",   "second_candidate", "own_placements",     "threshold",
-        "cold_observation", "cold_start",       "open_request_limit", "shared_loads",
-        "caller_shares",    "opening_copies",   "dead_flows",         "target_checks",
-        "progress_timeouts"};
+    constexpr std::array<std::string_view, 14> flow_decisions{
+        "shared_demands",    "second_candidate", "own_placements",     "threshold",
+        "cold_observation",  "cold_start",       "open_request_limit", "shared_loads",
+        "caller_shares",     "opening_copies",   "dead_flows",         "target_checks",
+        "progress_timeouts", "peer_copies"};
     for (const auto& name : names) {
         if (std::ranges::find(flow_decisions, name) != flow_decisions.end()) {
             continue;  // handled by the placement, cold start, overload and fleet start experiments
--- a/services/bramleybench/fleet_start_experiment.cpp
+++ b/services/bramleybench/fleet_start_experiment.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 #include "fleet_network.h"
 #include "fleet_start_instance.h"
@@ -12,7 +13,8 @@
 namespace bramleytrack::experiments {
 namespace {
 
-constexpr std::size_t targets_per_instance = 10;
+// Ten targets and its own registration.
+constexpr std::size_t entries_per_instance = 11;
 // One instance in twenty is large.
 constexpr std::size_t large_instance_interval = 20;
 constexpr double small_link_mbps = 20;
@@ -33,16 +35,9 @@
         : pattern_{pattern},
           random_{seed},
           network_{link_rates(pattern)},
-          platform_{pattern.instances * targets_per_instance,
-                    {.link_mbps = pattern.store_link_mbps}} {
+          platform_{pattern.instances * entries_per_instance, fleet_store_limits{}} {
         for (std::size_t i = 0; i < pattern.instances; ++i) {
-            instances_.push_back(std::make_unique<fleet_start_instance>(
-                network_, platform_,
-                fleet_start_instance::traits{
-                    .node = i + 1,
-                    .cpu_share = is_large(i) ? large_cpu_share : small_cpu_share,
-                    .seed = random_(),
-                    .restarts_timeout = features.has_progress_timeouts}));
+            add_instance(i, features);
         }
     }
 
@@ -70,6 +65,31 @@
     }
 
 private:
+    void add_instance(std::size_t index, const fleet_start_features& features) {
+        const auto name = "instance-" + std::to_string(index);
+        const auto link_mbps = is_large(index) ? large_link_mbps : small_link_mbps;
+        platform_.add_registration({.name = name,
+                                    .zone = "zone",
+                                    .address = name,
+                                    .pull_address = name,
+                                    .link_mbps = link_mbps});
+        instances_.push_back(std::make_unique<fleet_start_instance>(
+            network_, platform_,
+            fleet_start_instance::traits{
+                .name = name,
+                .node = index + 1,
+                .link_mbps = link_mbps,
+                .cpu_share = is_large(index) ? large_cpu_share : small_cpu_share,
+                .seed = random_(),
+                .restarts_timeout = features.has_progress_timeouts,
+                .uses_peers = features.copies_from_peers}));
+        instances_.back()->set_peer_finder([this](const std::string& pull_address) {
+            const auto found = by_address_.find(pull_address);
+            return found == by_address_.end() ? nullptr : found->second;
+        });
+        by_address_[name] = instances_.back().get();
+    }
+
     static bool is_large(std::size_t index) { return index % large_instance_interval == 0; }
 
     static std::vector<double> link_rates(const fleet_start_pattern& pattern) {
@@ -124,6 +144,7 @@
     fleet_network network_;
     fleet_store_model platform_;
     std::vector<std::unique_ptr<fleet_start_instance>> instances_;
+    std::unordered_map<std::string, fleet_start_instance*> by_address_;
     std::vector<fleet_start_instance*> restarted_;
     clock::time_point started_at_;
 };
--- a/services/bramleybench/fleet_start_experiment.h
+++ b/services/bramleybench/fleet_start_experiment.h
@@ -1,6 +1,5 @@
 // Simulates how long a fleet needs to receive its state after all, a zone or a few of its instances
-// have lost power: each reads the store through links that all share. Runs the real feed and
-// mirror.
+// have lost power. Runs the real feed, mirror and startup classes of each instance.
 #pragma once
 
 #include <cstdint>
@@ -25,6 +24,8 @@
     // A byte of a response restarts the timeout of its page; otherwise the whole page must arrive
     // within it.
     bool has_progress_timeouts = true;
+    // Few instances read the store, the others receive copies from peers; otherwise each reads it.
+    bool copies_from_peers = true;
 };
 
 // Fleets of 100 to 2,000 instances with ten targets each, restarted whole, by a fifth (a zone) and
--- a/services/bramleybench/fleet_start_instance.h
+++ b/services/bramleybench/fleet_start_instance.h
@@ -2,9 +2,12 @@
 // through the simulated links and responses that wait for the instance's processor.
 #pragma once
 
-#include <memory>
+#include <string>
 #include <string_view>
+#include <variant>
 
+#include "fleet/startup_sync.h"
+#include "fleet/transfer_budget.h"
 #include "fleet_network.h"
 #include "fleet_store_model.h"
 #include "store/feed.h"
@@ -23,26 +26,28 @@
 class fleet_start_instance final : public store::client {
 public:
     struct traits {
+        std::string name;
         fleet_network::node node = 0;
+        double link_mbps = 0;
         double cpu_share = 0;
         std::uint64_t seed = 0;
         bool restarts_timeout = false;  // whether a received byte restarts the timeout of a page
+        bool uses_peers = false;        // otherwise only the store
     };
 
     fleet_start_instance(fleet_network& network, fleet_store_model& platform, const traits& own);
 
-    void tick(clock::time_point now) { feed_.tick(now); }
+    // Finds the instance at a pull address.
+    using peer_finder = std::function<fleet_start_instance*(const std::string& pull_address)>;
+
+    void set_peer_finder(peer_finder find_peer) { find_peer_ = std::move(find_peer); }
+    void tick(clock::time_point now);
     // Gives the instance the complete state at once, like one that wasn't restarted.
     void hold_state();
     bool has_state() const { return has_state_; }
     clock::time_point ready_at() const { return ready_at_; }
     fleet_network::node node() const { return own_.node; }
 
-    // The size of the copy of its state that this instance sends to a peer.
-    std::int64_t copy_size() const;
-    // Applies the copy of a peer once the processor is free.
-    void receive_copy(const fleet_start_instance& from);
-
     clock::time_point last_received_at() const override {
         return network_.last_received_at(own_.node);
     }
@@ -67,6 +72,11 @@
 private:
     // Occupies the processor for `work_ms` of a whole core, then calls `done`.
     void run_on_processor(double work_ms, fleet_network::event_callback done);
+    void query(const fleet::pull_source& from, clock::time_point now);
+    // The size of the copy that a peer receives.
+    std::variant<std::int64_t, fleet::copy_refusal> admit_copy(clock::time_point now);
+    void on_refused(fleet::copy_refusal reason, clock::time_point now);
+    void receive_copy(const fleet_start_instance& from);
     void on_page(const store::page& received, const store::callback<store::page>& done);
     void become_ready(clock::time_point now);
 
@@ -76,6 +86,11 @@
     fleet_start_costs costs_;
     store::mirror mirror_;
     store::feed feed_;
+    fleet::startup_sync startup_;
+    fleet::transfer_budget copy_budget_;
+    peer_finder find_peer_;
+    fleet::copy_progress copy_ = fleet::copy_progress::none;
+    clock::time_point copy_encoded_at_;
     clock::time_point processor_free_at_;
     clock::time_point ready_at_;
     bool has_state_ = false;
--- a/services/bramleybench/main.cpp
+++ b/services/bramleybench/main.cpp
@@ -159,6 +159,7 @@
     for (const auto& name : split(options.without)) {
         features.has_progress_timeouts =
             features.has_progress_timeouts && name != "progress_timeouts";
+        features.copies_from_peers = features.copies_from_peers && name != "peer_copies";
     }
     for (const auto& pattern : all_fleet_start_patterns()) {
         if (!is_selected(options, pattern.name) && options.scenario != "fleet_start") {
--- a/services/bramleyd/main.cpp
+++ b/services/bramleyd/main.cpp
@@ -4,6 +4,7 @@
 
 #include "balancer_daemon.h"
 #include "base/read_file.h"
+#include "discovery/peer_shard.h"
 #include "net/udp_endpoint.h"
 #include "observability/log.h"
 #include "platform/adapter.h"
@@ -52,14 +53,20 @@
     const discovery::peer_entry own_entry{.name = settings.name,
                                           .zone = settings.zone,
                                           .address = settings.advertised_peer_address,
-                                          .pull_address = settings.advertised_pull_address};
+                                          .pull_address = settings.advertised_pull_address,
+                                          .link_mbps = settings.link_mbps};
+    std::vector<std::string> shard_prefixes;
+    for (std::size_t shard = 0; shard < discovery::peer_shards; ++shard) {
+        shard_prefixes.push_back(platform_adapter::peer_shard_prefix(shard));
+    }
     steering_daemon daemon{loop,
                            settings,
                            {.packets = platform.packets(),
                             .records = platform.records(),
                             .store = platform.store(),
                             .registration_key = platform_adapter::peer_key(settings.name),
-                            .registration_value = platform_adapter::peer_value(own_entry)},
+                            .registration_value = platform_adapter::peer_value(own_entry),
+                            .shard_prefixes = std::move(shard_prefixes)},
                            [path] { return read_file(path).value_or(""); }};
     loop.run();
     return 0;
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -14,8 +14,15 @@
 constexpr clock::duration digest_interval{300};
 // Slow targets in one digest.
 constexpr std::size_t max_slow_targets = 3;
-// Peers respond from memory. Waiting longer for one is no better than reading the store itself.
+// Peers respond from memory. Waiting longer for the next byte of a response is no better than
+// reading the store itself.
 constexpr clock::duration pull_timeout{700};
+// A peer that has just started requests the changes since the copy that it receives, so the copy
+// needn't be of the newest revision. Encoding it for each request would take a sender with ten
+// thousand targets 20 ms of a core each time.
+constexpr clock::duration max_whole_age{1'000};
+// A copy whose last byte arrived within this time is arriving.
+constexpr clock::duration max_byte_gap{200};
 // Delay after a failed pull, so that an unreachable peer is not queried at each tick.
 constexpr clock::duration failed_pull_pause{200};
 // Rate limit of pulls, in bytes of uncompressed values. Small instances have 10 Mbit/s for all
@@ -28,8 +35,23 @@
 constexpr std::string_view removed_items_path = "/ended";
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
+constexpr int http_too_early = 425;
+constexpr int http_too_many_requests = 429;
 constexpr int http_unavailable = 503;
 
+std::optional<fleet::copy_refusal> refusal_of(int status) {
+    switch (status) {
+        case http_too_early:
+            return fleet::copy_refusal::reading;
+        case http_too_many_requests:
+            return fleet::copy_refusal::busy;
+        case http_unavailable:
+            return fleet::copy_refusal::no_state;
+        default:
+            return std::nullopt;
+    }
+}
+
 wire::store_record to_wire_record(const store::event& event) {
     wire::store_record result;
     if (const auto* item = std::get_if<store::item>(&event)) {
@@ -56,7 +78,6 @@
                              const store::mirror& mirror, fleet::peer_digests& digests,
                              event_log& log)
     : name_{settings.name},
-      seeds_{settings.seeds},
       key_{wire::derive_fleet_key(settings.fleet_passphrase)},
       mirror_{mirror},
       digests_{digests},
@@ -70,9 +91,8 @@
                        handle_pull_request(request, respond);
                    }},
       http_client_{loop},
-      incarnation_{to_milliseconds(clock::now())} {
-    std::erase(seeds_, settings.advertised_pull_address);
-}
+      whole_budget_{settings.link_mbps},
+      incarnation_{to_milliseconds(clock::now())} {}
 
 void peer_exchange::tick(const digest_state& state, const steering::steering& steering,
                          clock::time_point now, const digest_measurements& measurements) {
@@ -190,7 +210,8 @@
         return;
     }
     if (mirror_.revision() == 0) {
-        respond({.status = http_unavailable, .body = ""});
+        const bool is_reading = is_reading_(clock::now());
+        respond({.status = is_reading ? http_too_early : http_unavailable, .body = ""});
         return;
     }
     if (request.path == removed_items_path) {
@@ -203,11 +224,43 @@
     std::int64_t after = 0;
     // Stays 0, which requests all items, if the text is not a number.
     (void)std::from_chars(after_text.data(), after_text.data() + after_text.size(), after);
+    if (!mirror_.has_changes_since(after)) {
+        respond_with_whole(respond);
+        return;
+    }
     respond({.status = http_ok,
              .body = encode_changes_since(after),
              .content_type = "application/octet-stream"});
 }
 
+void peer_exchange::respond_with_whole(const net::http_responder& respond) {
+    const auto& encoded = encode_whole();
+    if (!whole_budget_.admits(static_cast<std::int64_t>(encoded.size()), clock::now())) {
+        respond({.status = http_too_many_requests, .body = ""});
+        return;
+    }
+    respond({.status = http_ok, .body = encoded, .content_type = "application/octet-stream"});
+}
+
+const std::string& peer_exchange::encode_whole() {
+    const auto now = clock::now();
+    if (!whole_.empty() && now - whole_encoded_at_ < max_whole_age) {
+        return whole_;
+    }
+    wire::store_changes response;
+    response.revision = mirror_.revision();
+    // The copy may be sent until it has reached max_whole_age, so it claims that age now.
+    const auto confirmed_at = last_sent_state_.confirmed_at;
+    response.confirmed_ms_ago = milliseconds_since(confirmed_at, now + max_whole_age);
+    response.is_whole = true;
+    for (auto& each : mirror_.items()) {
+        response.records.push_back(to_wire_record(std::move(each)));
+    }
+    whole_ = wire::encode_store_changes(response, key_);
+    whole_encoded_at_ = now;
+    return whole_;
+}
+
 // Peers that fell behind at the same time request the same changes, so the last response is cached.
 // The confirmation age in a cached response is the one at the time of encoding.
 const std::string& peer_exchange::encode_changes_since(std::int64_t after) {
@@ -220,16 +273,8 @@
     wire::store_changes response;
     response.revision = mirror_.revision();
     response.confirmed_ms_ago = milliseconds_since(last_sent_state_.confirmed_at, now);
-    const auto changes = mirror_.changes_since(after);
-    response.is_whole = !changes.has_value();
-    if (changes) {
-        for (const auto& each : *changes) {
-            response.records.push_back(to_wire_record(each));
-        }
-    } else {
-        for (auto& each : mirror_.items()) {
-            response.records.push_back(to_wire_record(std::move(each)));
-        }
+    for (const auto& each : mirror_.changes_since(after).value_or(std::vector<store::event>{})) {
+        response.records.push_back(to_wire_record(each));
     }
     cached_changes_ = wire::encode_store_changes(response, key_);
     cached_after_ = after;
@@ -291,27 +336,31 @@
     is_pulling_ = true;
     const auto url = "http://" + from.address + std::string{changes_path} +
                      "?after=" + std::to_string(mirror_.revision());
-    http_client_.get(url, pull_timeout,
-                     [this, peer = from.peer, now](const net::http_result& response) {
-                         on_pull_response(peer, response, now);
-                     });
+    http_client_.get(
+        url, pull_timeout,
+        [this, peer = from.peer, now](const net::http_result& response) {
+            on_pull_response(peer, response, now);
+        },
+        net::timeout_scope::between_bytes);
 }
 
-void peer_exchange::pull_from_seed(clock::time_point now) {
-    if (seeds_.empty()) {
-        return;
+fleet::copy_progress peer_exchange::pull_progress(clock::time_point now) const {
+    if (is_pulling_ && now - http_client_.last_received_at() <= max_byte_gap) {
+        return fleet::copy_progress::arriving;
     }
-    const auto& address = seeds_[next_seed_ % seeds_.size()];
-    if (!is_pulling_ && now >= next_pull_) {
-        ++next_seed_;
-    }
-    pull({.peer = "seed", .address = address}, now);
+    return is_pulling_ || now < next_pull_ ? fleet::copy_progress::requested
+                                           : fleet::copy_progress::none;
 }
 
 void peer_exchange::on_pull_response(const std::string& peer, const net::http_result& response,
                                      clock::time_point sent_at) {
     const auto now = clock::now();
     is_pulling_ = false;
+    if (const auto reason = refusal_of(response.status)) {
+        next_pull_ = now;
+        pull_refused_callback_(*reason, now);
+        return;
+    }
     next_pull_ = now + failed_pull_pause;
     if (response.status != http_ok) {
         return;
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -14,7 +14,9 @@
 
 #include "base/event_log.h"
 #include "fleet/peer_digests.h"
+#include "fleet/startup_sync.h"
 #include "fleet/target_failure_detector.h"
+#include "fleet/transfer_budget.h"
 #include "fleet/update_source_selector.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -60,6 +62,16 @@
                   const store::mirror& mirror, fleet::peer_digests& digests, event_log& log);
 
     void on_pull_result(pull_callback callback) { pull_callback_ = std::move(callback); }
+    // Called when the peer that was queried last sent nothing.
+    using pull_refused_callback =
+        std::function<void(fleet::copy_refusal reason, clock::time_point now)>;
+    void on_pull_refused(pull_refused_callback callback) {
+        pull_refused_callback_ = std::move(callback);
+    }
+    // Sets how this instance tells whether its first read of the store makes progress.
+    void set_reading_check(std::function<bool(clock::time_point now)> check) {
+        is_reading_ = std::move(check);
+    }
     // Called when a peer's digest reports a revision newer than the local mirror's.
     void on_newer_revision(std::function<void(clock::time_point now)> callback) {
         newer_revision_callback_ = std::move(callback);
@@ -112,9 +124,8 @@
     using removed_items_callback =
         std::function<void(std::span<const store::removed_item> removed, clock::time_point now)>;
     void request_removed_items(const fleet::pull_source& from, removed_items_callback done);
-    // Pulls from one of the configured seeds in turn, under the same conditions as pull(), so that
-    // an instance can start during a store outage.
-    void pull_from_seed(clock::time_point now);
+    // How far the last pull() has come; `requested` also during the pause after a failed one.
+    fleet::copy_progress pull_progress(clock::time_point now) const;
 
     std::int64_t rejected_messages() const { return rejected_messages_; }
 
@@ -124,6 +135,9 @@
     wire::peer_message new_message() const;
     void handle_pull_request(const net::http_request& request, const net::http_responder& respond);
     const std::string& encode_changes_since(std::int64_t after);
+    // All items, for a peer that has just started or lacks too many changes.
+    const std::string& encode_whole();
+    void respond_with_whole(const net::http_responder& respond);
     std::string encode_removed_items() const;
     void on_removed_items(const std::string& peer, const net::http_result& response,
                           const removed_items_callback& done);
@@ -131,12 +145,13 @@
                           clock::time_point sent_at);
 
     std::string name_;
-    std::vector<std::string> seeds_;
     wire::fleet_key key_;
     const store::mirror& mirror_;
     fleet::peer_digests& digests_;
     event_log& log_;
     pull_callback pull_callback_;
+    pull_refused_callback pull_refused_callback_;
+    std::function<bool(clock::time_point now)> is_reading_;
     std::function<void(clock::time_point now)> newer_revision_callback_;
     probe_request_callback probe_request_callback_;
     probe_result_callback probe_result_callback_;
@@ -150,13 +165,16 @@
     digest_state last_sent_state_;
     clock::time_point next_digest_;
     clock::time_point next_pull_;
-    std::size_t next_seed_ = 0;
     // The last encoded response to a request for the changes after `cached_after_`. Valid while the
     // mirror is at `cached_revision_`, for at most digest_interval after `cached_at_`.
     std::string cached_changes_;
     std::int64_t cached_after_ = -1;
     std::int64_t cached_revision_ = -1;
     clock::time_point cached_at_;
+    // The last encoded copy of all items.
+    std::string whole_;
+    clock::time_point whole_encoded_at_;
+    fleet::transfer_budget whole_budget_;
     bool is_pulling_ = false;
     std::int64_t incarnation_ = 0;
     std::int64_t rejected_messages_ = 0;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -47,6 +47,12 @@
     return *parsed;
 }
 
+std::vector<std::string> seeds_without_self(const settings::steering_settings& settings) {
+    auto seeds = settings.seeds;
+    std::erase(seeds, settings.advertised_pull_address);
+    return seeds;
+}
+
 }  // namespace
 
 steering_daemon::steering_daemon(ev::loop_ref loop, settings::steering_settings settings,
@@ -72,6 +78,12 @@
       feed_{platform_.store, mirror_, random_seed_of(settings_.name)},
       registration_{platform_.store, platform_.registration_key, platform_.registration_value,
                     random_seed_of(settings_.name)},
+      startup_{platform_.store,
+               feed_,
+               platform_.records,
+               {settings_.name, settings_.link_mbps, seeds_without_self(settings_),
+                random_seed_of(settings_.name)},
+               platform_.shard_prefixes},
       peer_exchange_{loop, settings_, mirror_, digests_, log_},
       target_checks_{loop, settings_, directory_, steering_, peer_exchange_, log_},
       caller_port_{ntohs(parse_bind_address(settings_.packet_address).sin_port)},
@@ -125,14 +137,37 @@
     terminate_signal_.start(SIGTERM);
     reload_signal_.set<steering_daemon, &steering_daemon::on_reload>(this);
     reload_signal_.start(SIGHUP);
-    pause_guard_.on_event(clock::now());
+    started_at_ = clock::now();
+    pause_guard_.on_event(started_at_);
     settings_text_ = read_settings_();
     log_.write(log_event{"started"}
                    .with("zone", settings_.zone)
                    .with("packet_address", settings_.packet_address)
                    .with("store", settings_.store_address));
     report_ignored_keys();
-    feed_.tick(clock::now());
+    prepare_startup();
+}
+
+void steering_daemon::prepare_startup() {
+    startup_.on_copy_due([this](const fleet::pull_source& from, clock::time_point now) {
+        peer_exchange_.pull(from, now);
+    });
+    peer_exchange_.on_pull_refused([this](fleet::copy_refusal reason, clock::time_point now) {
+        if (!has_initial_state_) {
+            startup_.on_copy_refused(reason, now);
+        }
+    });
+    peer_exchange_.set_reading_check(
+        [this](clock::time_point now) { return feed_.is_first_read_progressing(now); });
+    startup_.on_listing([this](std::span<const store::item> registrations, clock::time_point now) {
+        const auto own =
+            std::ranges::find(registrations, platform_.registration_key, &store::item::key);
+        if (own != registrations.end()) {
+            registration_.adopt_lease(own->value, own->lease);
+        }
+        registration_.tick(now);
+    });
+    startup_.tick(fleet::copy_progress::none, clock::now());
 }
 
 void steering_daemon::report_ignored_keys() {
@@ -152,9 +187,15 @@
         feed_.reread(now);
     }
     exchange_with_peers(now);
-    feed_.tick(now);
-    if (has_initial_state_ && !stop_.is_begun()) {
+    if (has_initial_state_) {
+        feed_.tick(now);
+    } else {
+        startup_.tick(peer_exchange_.pull_progress(now), now);
+    }
+    if (startup_.has_listed() && !stop_.is_begun()) {
         registration_.tick(now);
+    }
+    if (has_initial_state_ && !stop_.is_begun()) {
         recover_removed_items();
     }
     steering_.expire(now);
@@ -254,10 +295,11 @@
     const bool should_watch = update_source_.should_watch(feed_, now);
     feed_.set_watch_enabled(should_watch);
     feed_.set_expected_watchers(update_source_.expected_watchers(now));
-    if (!has_initial_state_) {
-        peer_exchange_.pull_from_seed(now);
-    } else if (const auto source = update_source_.next_pull(
-                   mirror_.revision(), should_watch && !feed_.is_idle(), now)) {
+    const auto source =
+        has_initial_state_
+            ? update_source_.next_pull(mirror_.revision(), should_watch && !feed_.is_idle(), now)
+            : std::nullopt;
+    if (source) {
         peer_exchange_.pull(*source, now);
     }
     // failed_at() is the epoch unless the last read or watch failed.
@@ -307,14 +349,7 @@
 
 void steering_daemon::on_store_change(std::span<const store::event> events, clock::time_point now) {
     if (!has_initial_state_) {
-        has_initial_state_ = true;
-        update_source_.on_initial_state(now);
-        // Packets have waited in the socket until now. Stale openings among them are
-        // dropped only if the process was paused for pause_limits::min_pause just before: the ticks
-        // call on_event() every 100 ms from the start, so a slow first read alone is not detected,
-        // and openings that waited for it are forwarded.
-        pause_guard_.on_event(now);
-        packet_socket_.start_receiving();
+        on_initial_state(now);
     }
     confirmed_at_ = update_source_.confirmed_at(feed_, mirror_.revision());
     apply_changes(events, now);
@@ -322,6 +357,25 @@
     exchange_with_peers(now);  // sends the new revision to peers before the next tick
 }
 
+void steering_daemon::on_initial_state(clock::time_point now) {
+    has_initial_state_ = true;
+    startup_.finish();
+    feed_.skip_first_read(now);
+    update_source_.on_initial_state(now);
+    log_.write(log_event{"initial_state"}
+                   .with("after_ms", (now - started_at_).count())
+                   .with("revision", mirror_.revision())
+                   .with("listings", startup_.listings())
+                   .with("store_calls", feed_.calls())
+                   .with("peer_queries", startup_.queries()));
+    // Packets have waited in the socket until now. Stale openings among them are
+    // dropped only if the process was paused for pause_limits::min_pause just before: the ticks
+    // call on_event() every 100 ms from the start, so a slow first read alone is not detected,
+    // and openings that waited for it are forwarded.
+    pause_guard_.on_event(now);
+    packet_socket_.start_receiving();
+}
+
 void steering_daemon::apply_changes(std::span<const store::event> events, clock::time_point now) {
     for (const auto& each : events) {
         if (const auto* written = std::get_if<store::item>(&each)) {
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -16,6 +16,7 @@
 #include "discovery/registration.h"
 #include "fleet/peer_digests.h"
 #include "fleet/startup_recovery.h"
+#include "fleet/startup_sync.h"
 #include "fleet/stop_plan.h"
 #include "fleet/update_source_selector.h"
 #include "net/http_server.h"
@@ -39,6 +40,7 @@
     store::client& store;
     std::string registration_key;
     std::string registration_value;
+    std::vector<std::string> shard_prefixes;  // of the registrations, see discovery/peer_shard.h
 };
 
 class steering_daemon {
@@ -59,6 +61,9 @@
     void on_store_change(std::span<const store::event> events, clock::time_point now);
     void on_pull_result(const peer_exchange::pull_result& result, clock::time_point now);
     void exchange_with_peers(clock::time_point now);
+    void on_initial_state(clock::time_point now);
+    // Before the first tick of the feed.
+    void prepare_startup();
     // What peers need for shares of capacity and the balance between zones.
     digest_measurements measurements_for_digest() const;
     void recover_removed_items();
@@ -97,6 +102,7 @@
     steering::pause_guard pause_guard_;
     store::feed feed_;
     discovery::registration registration_;
+    fleet::startup_sync startup_;
     peer_exchange peer_exchange_;
     target_checks target_checks_;
     std::uint16_t caller_port_;  // to which resets are sent
@@ -113,6 +119,7 @@
     // When the directory was last confirmed to hold the current state of the store.
     clock::time_point confirmed_at_;
     std::int64_t malformed_datagrams_ = 0;
+    clock::time_point started_at_;
     // Whether the complete state was received once, from the store or from a peer.
     bool has_initial_state_ = false;
     bool is_ready_ = false;
--- a/tests/fleet_start_test.cpp
+++ b/tests/fleet_start_test.cpp
@@ -30,5 +30,23 @@
     EXPECT_EQ(figures(all_through_a_narrow_link)["ready"], 200);
 }
 
+TEST(fleet_start, takes_copies_from_peers_instead_of_reading_the_store_by_each) {
+    // Guards against a start whose duration is the state times the number of instances through the
+    // store's link. The limit is a fifth of what all reads together take.
+    const auto with_copies = figures(all_through_a_narrow_link);
+    const auto without = figures(all_through_a_narrow_link, {.copies_from_peers = false});
+    EXPECT_EQ(with_copies.at("ready"), 200);
+    EXPECT_LT(with_copies.at("store_mb"), without.at("store_mb") / 2);
+    EXPECT_LT(with_copies.at("all_s"), 3);
+}
+
+TEST(fleet_start, of_a_few_restarted_instances_takes_the_state_from_running_peers) {
+    auto pattern = all_through_a_narrow_link;
+    pattern.restarted_fraction = 0.05;
+    const auto result = figures(pattern);
+    EXPECT_EQ(result.at("ready"), 10);
+    EXPECT_LT(result.at("all_s"), 1);
+}
+
 }  // namespace
 }  // namespace bramleytrack
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -172,6 +172,35 @@
     EXPECT_FALSE(states_.back());
 }
 
+TEST_F(store_feed, stops_after_the_first_page_until_it_may_read_everything) {
+    feed_.set_first_read(store::read_extent::nothing);
+    feed_.tick(start);
+    EXPECT_TRUE(store_.ranges.empty());
+    feed_.set_first_read(store::read_extent::first_page);
+    feed_.tick(start);
+    store_.ranges[0].done(
+        store::page{.items = {make_item("a", 3)}, .has_more = true, .revision = 5}, start);
+    feed_.tick(start + clock::duration{100});
+    EXPECT_EQ(store_.ranges.size(), 1U);
+    feed_.set_first_read(store::read_extent::everything);
+    feed_.tick(start + clock::duration{200});
+    ASSERT_EQ(store_.ranges.size(), 2U);
+    EXPECT_EQ(store_.ranges[1].after_key, "a");
+}
+
+TEST_F(store_feed, reads_nothing_after_a_peer_sent_the_state) {
+    // Guards against a start in which each instance reads the store although a peer's copy arrived.
+    feed_.tick(start);
+    mirror_.replace(std::vector{make_item("a", 3), make_item("b", 4)}, 4);
+    feed_.skip_first_read(start);
+    store_.ranges[0].done(store::page{.items = {}, .has_more = false, .revision = 9}, start);
+    EXPECT_EQ(mirror_.items().size(), 2U);
+    feed_.tick(start);
+    EXPECT_EQ(store_.ranges.size(), 1U);
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.watches[0].revision, 4);
+}
+
 TEST_F(store_feed, a_failed_watch_is_followed_by_a_read_within_a_second) {
     // The store is unreachable for four seconds. A watch from the old revision would miss changes
     // made meanwhile if the history was lost, so all keys are read.
