--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -1,7 +1,7 @@
 #include "store/mirror.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 
 namespace bramleytrack::store {
 
@@ -17,19 +17,14 @@
 }
 
 std::vector<event> mirror::replace(std::span<const item> items, std::int64_t revision) {
+    auto missing = implied_removals(items, revision);
     std::vector<event> changed;
-    std::set<std::string_view> present;
+    changed.reserve(items.size() + missing.size());
+    auto hint = entries_.begin();
     for (const auto& each : items) {
-        present.insert(each.key);
-        if (apply_event(each)) {
-            changed.emplace_back(each);
-        }
-    }
-    std::vector<event> missing;
-    for (const auto& [key, stored] : entries_) {
-        if (!stored.is_removed && stored.revision <= revision && !present.contains(key)) {
-            missing.emplace_back(
-                removal{.key = key, .revision = std::max(stored.revision, revision)});
+        event update = each;
+        if (apply_event(update, hint)) {
+            changed.push_back(std::move(update));
         }
     }
     for (auto& each : missing) {
@@ -44,6 +39,28 @@
     return changed;
 }
 
+std::vector<event> mirror::implied_removals(std::span<const item> items,
+                                            std::int64_t revision) const {
+    std::vector<event> result;
+    if (entries_.empty()) {
+        return result;
+    }
+    std::vector<std::string_view> present;
+    present.reserve(items.size());
+    std::ranges::transform(items, std::back_inserter(present), &item::key);
+    if (!std::ranges::is_sorted(present)) {
+        std::ranges::sort(present);
+    }
+    for (const auto& [key, stored] : entries_) {
+        if (!stored.is_removed && stored.revision <= revision &&
+            !std::ranges::binary_search(present, std::string_view{key})) {
+            result.emplace_back(
+                removal{.key = key, .revision = std::max(stored.revision, revision)});
+        }
+    }
+    return result;
+}
+
 void mirror::advance(std::int64_t revision) {
     revision_ = std::max(revision_, revision);
 }
@@ -79,10 +96,17 @@
 }
 
 bool mirror::apply_event(const event& update) {
+    auto hint = entries_.end();
+    return apply_event(update, hint);
+}
+
+bool mirror::apply_event(const event& update, entry_map::iterator& hint) {
     const auto* written = std::get_if<item>(&update);
     const auto& key = written != nullptr ? written->key : std::get<removal>(update).key;
     const auto revision = revision_of(update);
-    auto& stored = entries_[key];
+    const auto position = entries_.try_emplace(hint, key);
+    hint = std::next(position);
+    auto& stored = position->second;
     // A removal that is implied by a range read has the revision of the read, which may equal that
     // of the item itself; receiving the item again must not undo the removal.
     const bool is_removal_of_stored_item = written == nullptr && !stored.is_removed &&
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -39,7 +39,8 @@
     std::vector<event> apply(std::span<const event> events);
 
     // Applies a complete range read that began at `revision`: keys that are missing in it count as
-    // removed, unless they changed after that revision.
+    // removed, unless they changed after that revision. Items are usually ordered by key, which
+    // makes it cheaper.
     std::vector<event> replace(std::span<const item> items, std::int64_t revision);
 
     // All events up to this revision have been applied, according to the responses of the store and
@@ -77,13 +78,19 @@
     // Last values of removed keys: enough for a release of a service, some hundred bytes each.
     static constexpr std::size_t max_removed_values = 2'000;
 
+    using entry_map = std::map<std::string, entry, std::less<>>;
+
     bool apply_event(const event& update);
+    // `hint`: the likely position of the key or of its successor; set to the successor.
+    bool apply_event(const event& update, entry_map::iterator& hint);
+    // Keys that `items` lacks and that haven't changed after `revision`.
+    std::vector<event> implied_removals(std::span<const item> items, std::int64_t revision) const;
     void set_item(entry& stored, const item& written);
     void set_removed(entry& stored, const removal& removed);
     void drop_old_tombstones();
 
     value_filter is_relevant_;
-    std::map<std::string, entry, std::less<>> entries_;
+    entry_map entries_;
     std::size_t tombstones_ = 0;
     std::deque<std::string> removed_values_;  // keys whose last value is kept, oldest first
     // Removals up to this revision may be missing: they happened before the first read, or their
--- a/services/bramleybench/fleet_start_instance.h
+++ b/services/bramleybench/fleet_start_instance.h
@@ -17,8 +17,8 @@
 
 // What an instance pays for the entries that it receives and sends, on a whole core.
 struct fleet_start_costs {
-    double page_entry_ms = 0.012;     // parsing an entry of a page, decoding and applying it
-    double copied_entry_ms = 0.010;   // the same for an entry of a peer's copy
+    double page_entry_ms = 0.0055;    // parsing an entry of a page, decoding and applying it
+    double copied_entry_ms = 0.0045;  // the same for an entry of a peer's copy
     double encoded_entry_ms = 0.002;  // encoding and compressing an entry for peers
     std::int64_t bytes_per_copied_entry = 25;
 };
