Discovery: Apply a change of targets at the cost of the change, not of the fleet

Change: `discovery/bulk_removal_detector` counts listed targets and recent removals of a service and handles each removal once; removed targets expire from a queue ordered by time; `discovery/service_pools` inserts and erases a target by id. Only a new catalogue rebuilds the pools.

removals_of_a_zone_cost_as_much_as_the_same_number_one_by_one fails on the directory before.

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -83,8 +83,7 @@
     if (are_pools_stale_) {
         rebuild_pools();
     }
-    const auto found = pools_.find(service);
-    return found == pools_.end() ? nullptr : &found->second;
+    return pools_.find(service);
 }
 
 const target* directory::find_target(routing_token token) const {
@@ -102,26 +101,29 @@
     std::erase_if(departed_peers_, [this, now](const auto& each) {
         return now - each.second >= limits_.departed_peer_retention;
     });
-    std::vector<std::string> expired;
-    for (const auto& [id, held] : targets_) {
-        if (!held->is_listed() && now - held->changed_at >= limits_.flow_lifetime) {
-            expired.push_back(id);
-        }
+    while (!removed_targets_.empty() &&
+           now - removed_targets_.front().at >= limits_.flow_lifetime) {
+        expire_target(removed_targets_.front().id, removed_targets_.front().at);
+        removed_targets_.pop_front();
     }
-    for (const auto& id : expired) {
-        const auto found = targets_.find(id);
-        const auto token = found->second->token;
-        std::erase(targets_by_token_[token], found->second.get());
-        if (targets_by_token_[token].empty()) {
-            targets_by_token_.erase(token);
-        } else {
-            resolve_token_conflict(token);
-        }
-        targets_.erase(found);
+}
+
+void directory::expire_target(std::string_view id, clock::time_point removed_at) {
+    const auto found = targets_.find(id);
+    const bool is_gone = found != targets_.end() && !found->second->is_listed() &&
+                         found->second->changed_at == removed_at;
+    if (!is_gone) {
+        return;
     }
-    if (!expired.empty()) {
-        are_pools_stale_ = true;
+    const auto token = found->second->token;
+    std::erase(targets_by_token_[token], found->second.get());
+    if (targets_by_token_[token].empty()) {
+        targets_by_token_.erase(token);
+    } else {
+        resolve_token_conflict(token);
     }
+    pools_.erase(*found->second);
+    targets_.erase(found);
 }
 
 change directory::apply_catalogue(const catalogue& update, clock::time_point now) {
@@ -164,6 +166,12 @@
         targets_by_token_[found->second->token].push_back(found->second.get());
     }
     auto& held = *found->second;
+    count_listed(held, update);
+    const bool changes_pool =
+        held.entry.service != update.service || held.entry.zone != update.zone || !is_pooled(held);
+    if (changes_pool) {
+        pools_.erase(held);
+    }
     held.entry = update;
     held.removal = removal_reason::none;
     held.presumed_alive_until.reset();
@@ -173,10 +181,27 @@
     // the later time of receipt makes it too long, never too short.
     held.cold_until = now + update.cold_remaining;
     resolve_token_conflict(held.token);
-    are_pools_stale_ = true;
+    if (changes_pool && !are_pools_stale_) {
+        pools_.insert(held);
+    }
     return change::applied;
 }
 
+bulk_removal_detector& directory::bulk_removals_of(const std::string& service) {
+    return bulk_removals_.try_emplace(service, limits_.bulk_removal_window).first->second;
+}
+
+// `held` is the target before the update.
+void directory::count_listed(const target& held, const target_entry& update) {
+    const bool is_new = held.entry.id.empty();
+    if (!is_new && held.is_listed()) {
+        bulk_removals_of(held.entry.service).on_unlisted();
+    } else if (held.removal == removal_reason::unexpected) {
+        bulk_removals_of(held.entry.service).on_relisted(held.entry.id);
+    }
+    bulk_removals_of(update.service).on_listed();
+}
+
 change directory::remove_target(std::string_view id, std::int64_t revision,
                                 bool had_recent_store_outage, clock::time_point now) {
     const auto found = targets_.find(id);
@@ -188,39 +213,28 @@
     held.removal = has_drained ? removal_reason::drained : removal_reason::unexpected;
     held.changed_at = now;
     held.revision = revision;
+    removed_targets_.push_back({.id = held.entry.id, .at = now});
     if (had_recent_store_outage && !has_drained) {
         held.presumed_alive_until = now + limits_.reregistration_grace;
     }
+    auto& removals = bulk_removals_of(held.entry.service);
+    removals.on_unlisted();
+    if (has_drained) {
+        pools_.erase(held);
+    } else {
+        removals.on_unexpected_removal(held.entry.id, now);
+    }
     presume_alive_on_bulk_removal(held.entry.service, now);
     resolve_token_conflict(held.token);
-    are_pools_stale_ = true;
     return change::applied;
 }
 
-// An outage of the store can be too short for any call to fail and still let the entries of all
-// targets expire. A healthy service would then reject its callers until the targets have registered
-// again. If at least half of a service's targets, and at least two, are unexpectedly removed within
-// bulk_removal_window, this assumes that their entries have expired, not that the targets stopped.
 void directory::presume_alive_on_bulk_removal(const std::string& service, clock::time_point now) {
-    std::vector<target*> unexpectedly_removed;
-    std::size_t listed = 0;
-    for (const auto& [id, held] : targets_) {
-        if (held->entry.service != service) {
-            continue;
-        }
-        listed += held->is_listed() ? 1 : 0;
-        if (held->removal == removal_reason::unexpected &&
-            now - held->changed_at <= limits_.bulk_removal_window) {
-            unexpectedly_removed.push_back(held.get());
-        }
-    }
-    constexpr std::size_t min_removed = 2;
-    if (unexpectedly_removed.size() < min_removed || unexpectedly_removed.size() < listed) {
-        return;
-    }
-    for (auto* each : unexpectedly_removed) {
-        if (!each->presumed_alive_until.has_value()) {
-            each->presumed_alive_until = each->changed_at + limits_.reregistration_grace;
+    for (const auto& id : bulk_removals_of(service).take_expired_entries(now)) {
+        const auto found = targets_.find(id);
+        if (found != targets_.end() && !found->second->presumed_alive_until.has_value()) {
+            auto& expired = *found->second;
+            expired.presumed_alive_until = expired.changed_at + limits_.reregistration_grace;
         }
     }
 }
@@ -244,17 +258,13 @@
 
 void directory::rebuild_pools() const {
     are_pools_stale_ = false;
-    pools_.clear();
-    for (const auto& each : catalogue_.services) {
-        pools_[each.name].description = each;
-    }
+    std::vector<target*> pooled;
     for (const auto& [id, held] : targets_) {
-        const auto found = pools_.find(held->entry.service);
-        if (found != pools_.end() && held->removal != removal_reason::drained) {
-            found->second.targets.push_back(held.get());
-            found->second.by_zone[held->entry.zone].push_back(held.get());
+        if (is_pooled(*held)) {
+            pooled.push_back(held.get());
         }
     }
+    pools_.rebuild(catalogue_.services, pooled);
 }
 
 }  // namespace bramleytrack::discovery
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -5,6 +5,7 @@
 // version, and everything else by the revision of its key, which store::mirror ensures.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,17 +17,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "discovery/bulk_removal_detector.h"
+#include "discovery/service_pools.h"
 #include "discovery/target.h"
 
 namespace bramleytrack::discovery {
 
-// A service to which routes can split, with its targets resolved.
-struct pool {
-    service description;
-    std::vector<target*> targets;  // listed, or unexpectedly removed within flow_lifetime; by id
-    std::map<std::string, std::vector<target*>, std::less<>> by_zone;  // the same targets
-};
-
 // A peer, and when this instance received its registration.
 struct registered_peer {
     peer_entry entry;
@@ -42,7 +38,7 @@
     // again. A target whose entry is still missing then counts as gone.
     clock::duration reregistration_grace{2'000};
     // Entries that expire because of the same outage are removed within one heartbeat of the
-    // targets. See presume_alive_on_bulk_removal().
+    // targets. See bulk_removal_detector.
     clock::duration bulk_removal_window{1'500};
     // For how long a departed peer keeps the ownership of its cold targets (steering/cold_gate).
     // An instance that is isolated from all others doesn't receive the removal of its own entry
@@ -103,9 +99,16 @@
     change apply_target(const target_entry& update, std::int64_t revision, clock::time_point now);
     change remove_target(std::string_view id, std::int64_t revision, bool had_recent_store_outage,
                          clock::time_point now);
+    bulk_removal_detector& bulk_removals_of(const std::string& service);
+    void count_listed(const target& held, const target_entry& update);
     void presume_alive_on_bulk_removal(const std::string& service, clock::time_point now);
+    void expire_target(std::string_view id, clock::time_point removed_at);
     void resolve_token_conflict(routing_token token);
     void rebuild_pools() const;
+    // Whether the target belongs into the pool of its service.
+    static bool is_pooled(const target& subject) {
+        return subject.removal != removal_reason::drained;
+    }
 
     directory_limits limits_;
     catalogue catalogue_;
@@ -114,10 +117,18 @@
     std::map<endpoint, clock::time_point> dropped_routes_;                 // bounded
     std::map<std::string, std::unique_ptr<target>, std::less<>> targets_;  // by id
     std::unordered_map<routing_token, std::vector<target*>> targets_by_token_;
-    // Derived from the members above on demand, because a read of the store adds thousands of
-    // targets at once.
-    mutable std::map<std::string, pool, std::less<>> pools_;  // by service
-    mutable bool are_pools_stale_ = false;
+    std::map<std::string, bulk_removal_detector, std::less<>> bulk_removals_;  // by service
+    struct removed_target {
+        std::string id;
+        clock::time_point at;
+    };
+    // Ordered by time. A target that was listed again since has another time of change.
+    std::deque<removed_target> removed_targets_;
+    // Derived from the members above. Built on demand after the catalogue has changed, so that the
+    // first read of the store adds its thousands of targets at once; changed with each target
+    // afterwards.
+    mutable service_pools pools_;
+    mutable bool are_pools_stale_ = true;
     std::set<std::string, std::less<>> zones_out_;
     std::map<std::string, registered_peer, std::less<>> peers_;
     std::map<std::string, clock::time_point, std::less<>> departed_peers_;
--- a/tests/discovery_directory_test.cpp
+++ b/tests/discovery_directory_test.cpp
@@ -2,6 +2,11 @@
 // routed.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <ctime>
+#include <limits>
+#include <random>
+
 #include "discovery/directory.h"
 
 namespace bramleytrack {
@@ -168,6 +173,98 @@
     EXPECT_EQ(count_eligible(start), 1);
 }
 
+TEST_F(discovery_directory, removals_of_a_zone_cost_as_much_as_the_same_number_one_by_one) {
+    // Guards against an instance that answers nobody for seconds when a zone's targets are removed:
+    // with a pass over all targets for each removal, the time grows with the square of the fleet.
+    constexpr int small = 2'000;
+    constexpr int large = 16'000;
+    constexpr double growth = static_cast<double>(large) / small;
+    // The logarithm and slower memory of a larger directory are allowed three times as much.
+    constexpr double allowed = 3 * growth;
+    const auto time_of_removals = [](int targets) {
+        double best = std::numeric_limits<double>::max();
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            directory subject;
+            subject.apply(make_catalogue(1), 1, false, start);
+            for (int i = 0; i < targets; ++i) {
+                subject.apply(make_entry("i-" + std::to_string(i)), 2, false, start);
+            }
+            const auto begin = std::clock();
+            for (int i = 0; i < targets / 7; ++i) {
+                subject.apply(target_removed{"i-" + std::to_string(i)}, 3, false, start);
+            }
+            best = std::min(best, static_cast<double>(std::clock() - begin));
+        }
+        return best;
+    };
+    EXPECT_LT(time_of_removals(large), allowed * time_of_removals(small));
+}
+
+TEST_F(discovery_directory, each_entry_that_expires_in_bulk_is_presumed_alive_once) {
+    apply(make_catalogue(1));
+    for (const auto* id : {"i-1", "i-2", "i-3", "i-4"}) {
+        apply(make_entry(id));
+    }
+    apply(target_removed{"i-1"});
+    apply(target_removed{"i-2"});
+    EXPECT_EQ(count_eligible(start), 4);
+    // Listed again and removed alone later, it is gone.
+    apply(make_entry("i-1"), start + one_second);
+    apply(make_entry("i-2"), start + one_second);
+    apply(target_removed{"i-1"}, start + 3 * one_second);
+    EXPECT_EQ(count_eligible(start + 3 * one_second), 3);
+}
+
+TEST_F(discovery_directory, a_target_that_moves_is_only_in_the_pool_of_its_new_zone) {
+    apply(make_catalogue(1));
+    apply(make_entry("i-1"));
+    apply(make_entry("i-2"));
+    ASSERT_EQ(directory_.find_pool("board")->by_zone.at("north").size(), 2U);
+    auto moved = make_entry("i-1");
+    moved.zone = "south";
+    apply(moved);
+    const auto* pool = directory_.find_pool("board");
+    EXPECT_EQ(pool->targets.size(), 2U);
+    EXPECT_EQ(pool->by_zone.at("north").size(), 1U);
+    EXPECT_EQ(pool->by_zone.at("south").size(), 1U);
+    apply(make_catalogue(2));
+    EXPECT_EQ(directory_.find_pool("board")->by_zone.at("south").size(), 1U);
+}
+
+TEST_F(discovery_directory, pools_change_with_targets_as_if_they_were_built_anew) {
+    // Guards against pools that keep a target which has left, or lack one that came.
+    std::minstd_rand random{1};
+    apply(make_catalogue(1));
+    auto now = start;
+    for (int step = 0; step < 2'000; ++step) {
+        now += clock::duration{random() % 200};
+        auto entry = make_entry("i-" + std::to_string(random() % 40));
+        entry.zone = random() % 2 == 0 ? "north" : "south";
+        entry.state = random() % 3 == 0 ? target_state::draining : target_state::ready;
+        if (random() % 3 == 0) {
+            apply(target_removed{entry.id}, now);
+        } else {
+            apply(entry, now);
+        }
+        directory_.expire(now);
+        std::vector<const discovery::target*> expected;
+        directory_.for_each_target([&expected](const discovery::target& each) {
+            if (each.removal != removal_reason::drained) {
+                expected.push_back(&each);
+            }
+        });
+        const auto* pool = directory_.find_pool("board");
+        ASSERT_TRUE(std::ranges::equal(pool->targets, expected));
+        std::size_t in_zones = 0;
+        for (const auto& [zone, targets] : pool->by_zone) {
+            in_zones += targets.size();
+            ASSERT_TRUE(std::ranges::all_of(
+                targets, [&zone](const auto* each) { return each->entry.zone == zone; }));
+        }
+        ASSERT_EQ(in_zones, expected.size());
+    }
+}
+
 TEST(routing_token, is_never_the_reserved_value) {
     constexpr int many = 100'000;
     for (int i = 0; i < many; ++i) {
