--- a/libraries/store/mirror.cpp
+++ b/libraries/store/mirror.cpp
@@ -80,10 +80,9 @@
         return std::nullopt;
     }
     std::vector<event> result;
-    for (const auto& [key, stored] : entries_) {
-        if (stored.revision <= revision) {
-            continue;
-        }
+    const auto first = by_revision_.lower_bound({revision + 1, std::string_view{}});
+    for (auto each = first; each != by_revision_.end(); ++each) {
+        const auto& [key, stored] = *entries_.find(each->second);
         if (stored.is_removed) {
             result.emplace_back(removal{.key = key, .revision = stored.revision});
         } else {
@@ -91,7 +90,6 @@
                 item{.key = key, .value = stored.value, .revision = stored.revision});
         }
     }
-    std::ranges::sort(result, {}, &revision_of);
     return result;
 }
 
@@ -115,6 +113,8 @@
         return false;
     }
     const bool was_absent = stored.is_removed || stored.revision == 0;
+    by_revision_.erase({stored.revision, position->first});
+    by_revision_.emplace(revision, position->first);
     tombstones_ -= stored.is_removed ? 1 : 0;
     if (written != nullptr) {
         set_item(stored, *written);
@@ -191,8 +191,12 @@
     std::ranges::nth_element(revisions, median);
     const auto cutoff = *median;
     history_floor_ = std::max(history_floor_, cutoff);
-    std::erase_if(entries_, [cutoff](const auto& each) {
-        return each.second.is_removed && each.second.revision <= cutoff;
+    std::erase_if(entries_, [this, cutoff](const auto& each) {
+        const bool is_dropped = each.second.is_removed && each.second.revision <= cutoff;
+        if (is_dropped) {
+            by_revision_.erase({each.second.revision, each.first});
+        }
+        return is_dropped;
     });
     tombstones_ = static_cast<std::size_t>(
         std::ranges::count_if(entries_, [](const auto& each) { return each.second.is_removed; }));
--- a/libraries/store/mirror.h
+++ b/libraries/store/mirror.h
@@ -8,9 +8,11 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "store/store.h"
@@ -35,6 +37,13 @@
     // the key and its revision are kept.
     explicit mirror(value_filter is_relevant = nullptr) : is_relevant_{std::move(is_relevant)} {}
 
+    // by_revision_ refers to the keys in entries_, so a mirror can be moved but not copied.
+    ~mirror() = default;
+    mirror(const mirror&) = delete;
+    mirror& operator=(const mirror&) = delete;
+    mirror(mirror&&) = default;
+    mirror& operator=(mirror&&) = default;
+
     // Applies the events that are newer than the stored state, and returns those.
     std::vector<event> apply(std::span<const event> events);
 
@@ -91,6 +100,10 @@
 
     value_filter is_relevant_;
     entry_map entries_;
+    // Revision and key of each entry, so that changes after a revision are found without a pass
+    // over all keys: every peer that is behind requests them after each change. The keys are those
+    // of entries_.
+    std::set<std::pair<std::int64_t, std::string_view>> by_revision_;
     std::size_t tombstones_ = 0;
     std::deque<std::string> removed_values_;  // keys whose last value is kept, oldest first
     // Removals up to this revision may be missing: they happened before the first read, or their
--- a/libraries/store/store.h
+++ b/libraries/store/store.h
@@ -29,6 +29,8 @@
 struct removal {
     std::string key;
     std::int64_t revision = 0;
+
+    bool operator==(const removal&) const = default;
 };
 
 // The item under one key; nullopt when the key doesn't exist.
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -1,6 +1,10 @@
 // Store: keys of the mirror never return to an older state, in whatever order items arrive.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
+
 #include "store/mirror.h"
 
 namespace bramleytrack {
@@ -182,5 +186,31 @@
     EXPECT_EQ(subject.removed_items().size(), 2'000U);
 }
 
+TEST(store_mirror, returns_the_newest_event_of_each_key_in_the_order_of_revisions) {
+    // Guards against changes that a peer never receives, or receives in an order in which a later
+    // state is followed by an older one.
+    std::minstd_rand random{1};
+    store::mirror subject;
+    std::map<std::string, store::event> newest;
+    for (std::int64_t revision = 1; revision <= 500; ++revision) {
+        const auto key = "key-" + std::to_string(random() % 30);
+        const auto update =
+            random() % 4 == 0
+                ? store::event{store::removal{.key = key, .revision = revision}}
+                : store::event{store::item{.key = key, .value = "v", .revision = revision}};
+        subject.apply(std::vector{update});
+        newest[key] = update;
+        const auto after = static_cast<std::int64_t>(random() % revision);
+        std::vector<store::event> expected;
+        for (const auto& [name, each] : newest) {
+            if (store::revision_of(each) > after) {
+                expected.push_back(each);
+            }
+        }
+        std::ranges::sort(expected, {}, &store::revision_of);
+        ASSERT_EQ(subject.changes_since(after), expected);
+    }
+}
+
 }  // namespace
 }  // namespace bramleytrack
