Discovery, Fleet: Count peers by zone as they change; test the start of an instance

Cause: the weights of digests visited all peers for each summary (20 a second under load), and each tick counted the peers in rotation although no stop had begun: 985 entries each.

The test of removals compared two durations of 0.1 and 3 ms and failed once in a run beside load (26 times as long instead of 24 allowed, resolution of the clock). It now compares the removal of a seventh of 16,000 targets with the addition of all; on the directory before the mend it fails as well.

--- a/libraries/discovery/directory.cpp
+++ b/libraries/discovery/directory.cpp
@@ -45,12 +45,12 @@
         return is_changed ? change::applied : change::none;
     }
     if (const auto* peer = std::get_if<peer_entry>(&subject)) {
-        peers_[peer->name] = {.entry = *peer, .registered_at = now};
+        register_peer(*peer, now);
         departed_peers_.erase(peer->name);
         return change::applied;
     }
     if (const auto* removed = std::get_if<peer_removed>(&subject)) {
-        if (peers_.erase(removed->name) == 0) {
+        if (!unregister_peer(removed->name)) {
             return change::none;
         }
         departed_peers_[removed->name] = now;
@@ -64,6 +64,25 @@
     return change::none;
 }
 
+void directory::register_peer(const peer_entry& update, clock::time_point now) {
+    unregister_peer(update.name);
+    peers_[update.name] = {.entry = update, .registered_at = now};
+    ++peers_by_zone_[update.zone];
+}
+
+bool directory::unregister_peer(std::string_view name) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return false;
+    }
+    const auto zone = peers_by_zone_.find(found->second.entry.zone);
+    if (--zone->second == 0) {
+        peers_by_zone_.erase(zone);
+    }
+    peers_.erase(found);
+    return true;
+}
+
 const route* directory::find_route(const endpoint& address) const {
     const auto found = routes_.find(address);
     return found == routes_.end() ? nullptr : found->second;
--- a/libraries/discovery/directory.h
+++ b/libraries/discovery/directory.h
@@ -86,6 +86,10 @@
     bool is_zone_out(std::string_view zone) const { return zones_out_.contains(zone); }
     const std::set<std::string, std::less<>>& zones_out() const { return zones_out_; }
     const std::map<std::string, registered_peer, std::less<>>& peers() const { return peers_; }
+    // The number of registered peers in each zone that has one.
+    const std::map<std::string, std::size_t, std::less<>>& peers_by_zone() const {
+        return peers_by_zone_;
+    }
     // Peers whose entry was removed within departed_peer_retention, and when this instance received
     // the removal. They still count as possible owners of cold targets.
     const std::map<std::string, clock::time_point, std::less<>>& departed_peers() const {
@@ -95,6 +99,8 @@
     void for_each_target(const std::function<void(const target&)>& visit) const;
 
 private:
+    void register_peer(const peer_entry& update, clock::time_point now);
+    bool unregister_peer(std::string_view name);
     change apply_catalogue(const catalogue& update, clock::time_point now);
     change apply_target(const target_entry& update, std::int64_t revision, clock::time_point now);
     change remove_target(std::string_view id, std::int64_t revision, bool had_recent_store_outage,
@@ -131,6 +137,7 @@
     mutable bool are_pools_stale_ = true;
     std::set<std::string, std::less<>> zones_out_;
     std::map<std::string, registered_peer, std::less<>> peers_;
+    std::map<std::string, std::size_t, std::less<>> peers_by_zone_;
     std::map<std::string, clock::time_point, std::less<>> departed_peers_;
 };
 
--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -318,14 +318,11 @@
         }
     }
     std::map<std::string_view, double> weights;
-    for (const auto& [name, peer] : directory_.peers()) {
-        if (name != self_) {
-            ++weights[peer.entry.zone];
-        }
-    }
-    for (auto& [zone, weight] : weights) {
+    for (const auto& [zone, peers] : directory_.peers_by_zone()) {
+        const bool contains_self = directory_.peers().contains(self_) && zone == zone_;
+        const auto others = static_cast<double>(peers) - (contains_self ? 1 : 0);
         const auto found = fresh.find(zone);
-        weight = found == fresh.end() ? 1 : std::max(1.0, weight / found->second);
+        weights[zone] = found == fresh.end() ? 1 : std::max(1.0, others / found->second);
     }
     weights.try_emplace(std::string_view{}, 1);  // peers that aren't in the directory yet
     return weights;
--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -78,7 +78,7 @@
     const bool can_continue = read_ && read_->freshness == freshness() &&
                               now - read_->page_arrived_at <= limits_.max_page_age;
     if (!can_continue) {
-        read_.emplace();
+        read_ = reading{};
         read_->freshness = freshness();
         read_->started_at = now;
     }
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -462,6 +462,9 @@
 }
 
 void steering_daemon::stop_when_drained(clock::time_point now) {
+    if (!stop_.is_begun()) {
+        return;  // counting the peers in rotation visits all of them
+    }
     if (stop_.may_end(now, last_packet_at_, peers_in_rotation(now), settings_.stop_grace)) {
         log_.write(log_event{"stopped"}.with("after_ms", stop_.elapsed(now).count()));
         observability::flush_log();
--- a/tests/discovery_directory_test.cpp
+++ b/tests/discovery_directory_test.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <ctime>
-#include <limits>
 #include <random>
 
 #include "discovery/directory.h"
@@ -173,31 +172,20 @@
     EXPECT_EQ(count_eligible(start), 1);
 }
 
-TEST_F(discovery_directory, removals_of_a_zone_cost_as_much_as_the_same_number_one_by_one) {
+TEST_F(discovery_directory, removing_a_zone_takes_less_time_than_adding_all_targets) {
     // Guards against an instance that answers nobody for seconds when a zone's targets are removed:
-    // with a pass over all targets for each removal, the time grows with the square of the fleet.
-    constexpr int small = 2'000;
-    constexpr int large = 16'000;
-    constexpr double growth = static_cast<double>(large) / small;
-    // The logarithm and slower memory of a larger directory are allowed three times as much.
-    constexpr double allowed = 3 * growth;
-    const auto time_of_removals = [](int targets) {
-        double best = std::numeric_limits<double>::max();
-        for (int attempt = 0; attempt < 3; ++attempt) {
-            directory subject;
-            subject.apply(make_catalogue(1), 1, false, start);
-            for (int i = 0; i < targets; ++i) {
-                subject.apply(make_entry("i-" + std::to_string(i)), 2, false, start);
-            }
-            const auto begin = std::clock();
-            for (int i = 0; i < targets / 7; ++i) {
-                subject.apply(target_removed{"i-" + std::to_string(i)}, 3, false, start);
-            }
-            best = std::min(best, static_cast<double>(std::clock() - begin));
-        }
-        return best;
-    };
-    EXPECT_LT(time_of_removals(large), allowed * time_of_removals(small));
+    // with a pass over all targets for each removal, it takes fifty times as long.
+    constexpr int targets = 16'000;
+    apply(make_catalogue(1));
+    const auto begin = std::clock();
+    for (int i = 0; i < targets; ++i) {
+        apply(make_entry("i-" + std::to_string(i)));
+    }
+    const auto added = std::clock();
+    for (int i = 0; i < targets / 7; ++i) {
+        apply(target_removed{"i-" + std::to_string(i)});
+    }
+    EXPECT_LT(std::clock() - added, added - begin);
 }
 
 TEST_F(discovery_directory, each_entry_that_expires_in_bulk_is_presumed_alive_once) {
@@ -256,10 +244,11 @@
         const auto* pool = directory_.find_pool("board");
         ASSERT_TRUE(std::ranges::equal(pool->targets, expected));
         std::size_t in_zones = 0;
-        for (const auto& [zone, targets] : pool->by_zone) {
-            in_zones += targets.size();
-            ASSERT_TRUE(std::ranges::all_of(
-                targets, [&zone](const auto* each) { return each->entry.zone == zone; }));
+        for (const auto& each : pool->by_zone) {
+            in_zones += each.second.size();
+            ASSERT_TRUE(std::ranges::all_of(each.second, [&each](const auto* target) {
+                return target->entry.zone == each.first;
+            }));
         }
         ASSERT_EQ(in_zones, expected.size());
     }
--- a/tests/fleet_startup_plan_test.cpp
+++ b/tests/fleet_startup_plan_test.cpp
@@ -88,7 +88,7 @@
 TEST_F(fleet_startup_plan, waits_while_a_member_is_reading_or_busy) {
     // Guards against a store that all read at last because the first readers are slow.
     list(members_of_a_shard(100, large_link));
-    for (int second = 1; second <= 100; ++second) {
+    for (std::int64_t second = 1; second <= 100; ++second) {
         subject_.on_source_expected(after(second * 1'000));
     }
     EXPECT_EQ(subject_.allowed_read(after(100'000)), read_extent::nothing);
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -200,7 +200,7 @@
                 : store::event{store::item{.key = key, .value = "v", .revision = revision}};
         subject.apply(std::vector{update});
         newest[key] = update;
-        const auto after = static_cast<std::int64_t>(random() % revision);
+        const auto after = static_cast<std::int64_t>(random()) % revision;
         std::vector<store::event> expected;
         for (const auto& [name, each] : newest) {
             if (store::revision_of(each) > after) {
