--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -55,6 +55,11 @@
     std::int64_t dropped_sends = 0;
     std::int64_t target_probes = 0;
     std::int64_t targets_found_dead = 0;
+    std::int64_t initial_state_ms = -1;  // from the start of the process; -1: not received yet
+    std::int64_t startup_peer_queries = 0;
+    std::int64_t copies_sent = 0;  // of the complete state, to peers
+    std::int64_t copies_refused = 0;
+    std::int64_t copy_bytes_sent = 0;
     bool is_store_reachable = false;
     bool is_ready = false;
 };
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -235,10 +235,14 @@
 
 void peer_exchange::respond_with_whole(const net::http_responder& respond) {
     const auto& encoded = encode_whole();
-    if (!whole_budget_.admits(static_cast<std::int64_t>(encoded.size()), clock::now())) {
+    const auto size = static_cast<std::int64_t>(encoded.size());
+    if (!whole_budget_.admits(size, clock::now())) {
+        ++copies_.refused;
         respond({.status = http_too_many_requests, .body = ""});
         return;
     }
+    ++copies_.sent;
+    copies_.bytes += size;
     respond({.status = http_ok, .body = encoded, .content_type = "application/octet-stream"});
 }
 
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -129,6 +129,14 @@
 
     std::int64_t rejected_messages() const { return rejected_messages_; }
 
+    // Copies of the complete state.
+    struct copy_counts {
+        std::int64_t sent = 0;
+        std::int64_t refused = 0;
+        std::int64_t bytes = 0;
+    };
+    const copy_counts& copies() const { return copies_; }
+
 private:
     void on_datagram(std::span<const std::uint8_t> datagram);
     void on_peer_digest(const std::string& peer, wire::digest content, clock::time_point now);
@@ -175,6 +183,7 @@
     std::string whole_;
     clock::time_point whole_encoded_at_;
     fleet::transfer_budget whole_budget_;
+    copy_counts copies_;
     bool is_pulling_ = false;
     std::int64_t incarnation_ = 0;
     std::int64_t rejected_messages_ = 0;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -359,11 +359,12 @@
 
 void steering_daemon::on_initial_state(clock::time_point now) {
     has_initial_state_ = true;
+    initial_state_after_ = now - started_at_;
     startup_.finish();
     feed_.skip_first_read(now);
     update_source_.on_initial_state(now);
     log_.write(log_event{"initial_state"}
-                   .with("after_ms", (now - started_at_).count())
+                   .with("after_ms", initial_state_after_.count())
                    .with("revision", mirror_.revision())
                    .with("listings", startup_.listings())
                    .with("store_calls", feed_.calls())
@@ -558,6 +559,11 @@
                             .dropped_sends = packet_socket_.dropped_sends(),
                             .target_probes = target_checks_.probes_started(),
                             .targets_found_dead = target_checks_.targets_found_dead(),
+                            .initial_state_ms = initial_state_after_.count(),
+                            .startup_peer_queries = startup_.queries(),
+                            .copies_sent = peer_exchange_.copies().sent,
+                            .copies_refused = peer_exchange_.copies().refused,
+                            .copy_bytes_sent = peer_exchange_.copies().bytes,
                             .is_store_reachable = feed_.is_reachable(),
                             .is_ready = is_ready_},
                            services, routes);
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -120,6 +120,7 @@
     clock::time_point confirmed_at_;
     std::int64_t malformed_datagrams_ = 0;
     clock::time_point started_at_;
+    clock::duration initial_state_after_{-1};  // -1 ms: not received yet
     // Whether the complete state was received once, from the store or from a peer.
     bool has_initial_state_ = false;
     bool is_ready_ = false;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 
+#include "discovery/peer_shard.h"
 #include "platform/packet_codec.h"
 #include "platform/record_codec.h"
 
@@ -195,12 +196,27 @@
 }
 
 TEST(record_codec, decodes_the_registration_of_an_instance) {
-    const discovery::peer_entry own{
-        .name = "a", .zone = "z", .address = "10.0.0.1:7000", .pull_address = "10.0.0.1:7001"};
+    const discovery::peer_entry own{.name = "a",
+                                    .zone = "z",
+                                    .address = "10.0.0.1:7000",
+                                    .pull_address = "10.0.0.1:7001",
+                                    .link_mbps = 20.5};
     const auto found = read<discovery::peer_entry>(platform_adapter::peer_key("a"),
                                                    platform_adapter::peer_value(own));
     EXPECT_EQ(found.name, "a");
     EXPECT_EQ(found.pull_address, "10.0.0.1:7001");
+    EXPECT_EQ(found.link_mbps, 20.5);
+}
+
+TEST(record_codec, finds_an_instance_in_its_shard_and_under_a_key_without_one) {
+    const auto key = platform_adapter::peer_key("a");
+    EXPECT_TRUE(key.starts_with(platform_adapter::peer_shard_prefix(discovery::peer_shard("a"))));
+    const auto removed = record_codec{}.read_removal(key);
+    EXPECT_EQ(std::get<discovery::peer_removed>(removed).name, "a");
+    // Registrations of earlier versions have no shard.
+    const auto value = platform_adapter::peer_value(
+        {.name = "a", .zone = "z", .address = "10.0.0.1:1", .pull_address = "10.0.0.1:2"});
+    EXPECT_EQ(read<discovery::peer_entry>("bramleytrack/instances/a", value).name, "a");
 }
 
 }  // namespace
--- a/tests/steering_settings_test.cpp
+++ b/tests/steering_settings_test.cpp
@@ -37,6 +37,22 @@
     EXPECT_EQ(parsed_settings.flow_lifetime, clock::duration{60'500});
 }
 
+TEST(steering_settings, the_rate_of_the_link_is_optional) {
+    const auto rate_of = [](const std::string& addition) {
+        const auto parsed = parse_steering_settings(
+            modified_settings("\"stop_grace_s\"", addition + "\"stop_grace_s\""));
+        return std::get<steering_settings>(parsed).link_mbps;
+    };
+    EXPECT_EQ(rate_of(""), 0);
+    EXPECT_EQ(rate_of("\"link_mbps\": null, "), 0);
+    EXPECT_EQ(rate_of("\"link_mbps\": 20.5, "), 20.5);
+    EXPECT_EQ(
+        faults_of(modified_settings("\"stop_grace_s\"", "\"link_mbps\": -1, \"stop_grace_s\""))
+            .front()
+            .path,
+        "/link_mbps");
+}
+
 TEST(steering_settings, reports_each_fault_with_its_path) {
     EXPECT_EQ(faults_of(modified_settings("\"a\"", "\"a b\"")).front().path, "/name");
     EXPECT_EQ(faults_of(modified_settings("10.0.0.1:1", "host:1")).front().path, "/packet_address");
