Fleet: Register after a start without the store, and list less often during an outage

An instance that received its state from a seed while the store was away never listed its shard and so never registered: its peers didn't learn of it. It may register once it has the state, as before.

A listing without an answer was repeated every 350 ms; 985 instances that start during an outage would make 2,800 calls a second. The delay now doubles up to 1.4 s with jitter, 57 calls a minute for each.

--- a/libraries/fleet/startup_plan.cpp
+++ b/libraries/fleet/startup_plan.cpp
@@ -22,20 +22,30 @@
       seeds_{std::move(seeds)},
       random_{static_cast<std::minstd_rand::result_type>(seed)},
       limits_{limits},
-      next_shard_{own_shard_} {}
+      next_shard_{own_shard_},
+      listing_retry_{limits.listing_retry} {}
 
 std::optional<std::size_t> startup_plan::next_listing(clock::time_point last_received_at,
                                                       clock::time_point now) {
     const auto last_progress = std::max(listing_requested_at_, last_received_at);
-    const bool is_lost = is_listing_pending_ && now - last_progress >= limits_.listing_retry;
+    const bool is_lost = is_listing_pending_ && now - last_progress >= listing_retry_;
     if (now < next_listing_at_ || (is_listing_pending_ && !is_lost)) {
         return std::nullopt;
     }
+    listing_retry_ = is_lost ? next_listing_retry() : limits_.listing_retry;
     is_listing_pending_ = true;
     listing_requested_at_ = now;
     return next_shard_;
 }
 
+// With a jitter of half to the whole of it, so that the instances of a fleet that started together
+// don't repeat their listings together.
+clock::duration startup_plan::next_listing_retry() {
+    const auto longest = std::min(2 * listing_retry_, limits_.max_listing_retry);
+    std::uniform_int_distribution<std::int64_t> jitter{longest.count() / 2, longest.count()};
+    return std::max(limits_.listing_retry, clock::duration{jitter(random_)});
+}
+
 void startup_plan::on_listed(std::size_t shard, std::span<const discovery::peer_entry> members,
                              clock::time_point now) {
     for (const auto& each : members) {
--- a/libraries/fleet/startup_plan.h
+++ b/libraries/fleet/startup_plan.h
@@ -42,8 +42,10 @@
     // that it is reading or busy: none of them may hold the state.
     clock::duration next_shard_interval{1'000};
     // A listing is repeated, on another connection, when no byte has arrived from the store for
-    // this time.
+    // this time, which doubles with each repetition up to max_listing_retry.
     clock::duration listing_retry{350};
+    // 985 instances that start during an outage make about 900 calls a second with it.
+    clock::duration max_listing_retry{1'400};
     // The first members of a shard, which hold the state earliest. Two queries of three go to them.
     std::size_t preferred_sources = 4;
 };
@@ -79,6 +81,7 @@
         double link_mbps = 0;
     };
 
+    clock::duration next_listing_retry();
     void rank_own_shard(std::span<const discovery::peer_entry> members, clock::time_point now);
     pull_source random_source();
 
@@ -94,6 +97,7 @@
     clock::time_point next_listing_at_;
     std::size_t next_shard_;
     bool is_listing_pending_ = false;
+    clock::duration listing_retry_;  // after the pending listing
 
     // When this instance may read the store. Unknown until it is registered, or its shard was
     // listed twice.
--- a/libraries/fleet/startup_sync.h
+++ b/libraries/fleet/startup_sync.h
@@ -46,9 +46,9 @@
     // The state is complete; responses that arrive later have no effect.
     void finish() { is_finished_ = true; }
 
-    // Whether the store has answered a listing, so that this instance may register itself: an entry
-    // from before its restart, if there is one, was passed to the callback.
-    bool has_listed() const { return plan_.has_listed(); }
+    // Whether this instance may register itself: its shard was listed, so that an entry from before
+    // its restart was passed to the callback, or it received the state without the store.
+    bool may_register() const { return plan_.has_listed() || is_finished_; }
     std::int64_t listings() const { return listings_; }
     std::int64_t queries() const { return queries_; }
 
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -192,7 +192,7 @@
     } else {
         startup_.tick(peer_exchange_.pull_progress(now), now);
     }
-    if (startup_.has_listed() && !stop_.is_begun()) {
+    if (startup_.may_register() && !stop_.is_begun()) {
         registration_.tick(now);
     }
     if (has_initial_state_ && !stop_.is_begun()) {
--- a/tests/fleet_startup_plan_test.cpp
+++ b/tests/fleet_startup_plan_test.cpp
@@ -62,6 +62,16 @@
     EXPECT_TRUE(subject_.next_listing(after(300), after(650)).has_value());
 }
 
+TEST_F(fleet_startup_plan, repeats_listings_less_often_during_an_outage) {
+    // Guards against a fleet that starts without the store and makes thousands of calls a second.
+    int listings = 0;
+    for (std::int64_t now = 0; now < 60'000; now += 100) {
+        listings += subject_.next_listing({}, after(now)).has_value() ? 1 : 0;
+    }
+    EXPECT_LE(listings, 75);
+    EXPECT_GE(listings, 40);
+}
+
 TEST_F(fleet_startup_plan, a_member_of_a_small_fleet_reads_the_store_at_once) {
     list(members_of_a_shard(7));
     EXPECT_EQ(subject_.allowed_read(start), read_extent::everything);
