Fleet: Query a peer that doesn't answer only once during a start

After a zone's loss a fifth of the registrations are those of stopped instances for up to 15 s. A query to one takes 700 ms, and the first members of a shard were queried in every round. A peer without an answer is now left out until a later listing contains it. Found by reading; the test fails without it.

--- a/libraries/fleet/startup_plan.cpp
+++ b/libraries/fleet/startup_plan.cpp
@@ -123,6 +123,7 @@
 
 std::optional<pull_source> startup_plan::next_source() {
     const auto query = queries_++;
+    last_source_.clear();
     if (candidates_.empty()) {
         return seeds_.empty() ? std::nullopt
                               : std::optional{pull_source{
@@ -131,15 +132,21 @@
     constexpr std::size_t cycle = 3;
     const auto position = query % cycle;
     if (position >= preferred_.size() || position + 1 == cycle) {
-        return random_source();
+        last_source_ = random_candidate();
+    } else {
+        const auto next = 1 + (query / cycle) % std::max<std::size_t>(1, preferred_.size() - 1);
+        last_source_ = preferred_[position == 0 ? 0 : next];
     }
-    const auto next = 1 + (query / cycle) % std::max<std::size_t>(1, preferred_.size() - 1);
-    const auto& name = preferred_[position == 0 ? 0 : next];
-    return pull_source{.peer = name, .address = candidates_[name].pull_address};
+    return pull_source{.peer = last_source_, .address = candidates_[last_source_].pull_address};
+}
+
+void startup_plan::on_source_unreachable() {
+    candidates_.erase(last_source_);
+    std::erase(preferred_, last_source_);
 }
 
 // A peer with a faster link sends more copies in the same time, so it is selected more often.
-pull_source startup_plan::random_source() {
+std::string startup_plan::random_candidate() {
     double sum = 0;
     for (const auto& [name, each] : candidates_) {
         sum += each.link_mbps;
@@ -153,7 +160,7 @@
             break;
         }
     }
-    return {.peer = selected->first, .address = selected->second.pull_address};
+    return selected->first;
 }
 
 }  // namespace bramleytrack::fleet
--- a/libraries/fleet/startup_plan.h
+++ b/libraries/fleet/startup_plan.h
@@ -67,6 +67,9 @@
     // Whether the store has answered a listing.
     bool has_listed() const { return listed_at_.has_value(); }
 
+    // The peer of the last next_source() didn't answer: it isn't queried any more, unless a later
+    // listing contains it.
+    void on_source_unreachable();
     // A queried peer answered that it will hold the state soon, or is sending it to others.
     void on_source_expected(clock::time_point now);
     // How much of the store this instance may read now.
@@ -83,7 +86,7 @@
 
     clock::duration next_listing_retry();
     void rank_own_shard(std::span<const discovery::peer_entry> members, clock::time_point now);
-    pull_source random_source();
+    std::string random_candidate();
 
     std::string self_;
     std::size_t own_shard_;
@@ -105,6 +108,7 @@
     clock::duration read_delay_{0};  // after the last on_source_expected(); 0 for the readers
     std::map<std::string, candidate> candidates_;  // by name, without this instance
     std::vector<std::string> preferred_;           // names of candidates
+    std::string last_source_;                      // a name of a candidate, or empty
     std::size_t queries_ = 0;
 };
 
--- a/libraries/fleet/startup_sync.cpp
+++ b/libraries/fleet/startup_sync.cpp
@@ -39,6 +39,10 @@
 }
 
 void startup_sync::on_copy_refused(copy_refusal reason, clock::time_point now) {
+    if (reason == copy_refusal::unreachable) {
+        plan_.on_source_unreachable();
+        return;
+    }
     if (reason != copy_refusal::no_state) {
         plan_.on_source_expected(now);
     }
--- a/libraries/fleet/startup_sync.h
+++ b/libraries/fleet/startup_sync.h
@@ -18,7 +18,8 @@
 enum class copy_refusal {
     no_state,
     reading,  // it holds no state yet, but reads the store and receives bytes
-    busy      // it sends copies to others
+    busy,     // it sends copies to others
+    unreachable
 };
 
 // The state of the copy that was requested last.
@@ -41,7 +42,8 @@
 
     // To be called every few tens of milliseconds until the state is complete.
     void tick(copy_progress progress, clock::time_point now);
-    // The queried peer sent no copy: the next one is queried.
+    // The queried peer sent no copy: the next one is queried, unless the time for an answer has
+    // passed already.
     void on_copy_refused(copy_refusal reason, clock::time_point now);
     // The state is complete; responses that arrive later have no effect.
     void finish() { is_finished_ = true; }
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -367,6 +367,7 @@
     }
     next_pull_ = now + failed_pull_pause;
     if (response.status != http_ok) {
+        pull_refused_callback_(fleet::copy_refusal::unreachable, now);
         return;
     }
     const auto decoded = wire::decode_store_changes(response.body, key_);
--- a/tests/fleet_startup_plan_test.cpp
+++ b/tests/fleet_startup_plan_test.cpp
@@ -143,6 +143,16 @@
     EXPECT_GT(peers.size(), 20U);
 }
 
+TEST_F(fleet_startup_plan, queries_a_member_that_does_not_answer_only_once) {
+    // Guards against a start that waits for the same stopped peer in each round of queries.
+    list(members_of_a_shard(5));
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_NE(subject_.next_source()->peer, "seed");
+        subject_.on_source_unreachable();
+    }
+    EXPECT_EQ(subject_.next_source()->peer, "seed");
+}
+
 TEST(fleet_transfer_budget, admits_as_many_copies_as_leave_within_the_backlog) {
     // Guards against a sender whose hundred copies all arrive after seconds.
     constexpr std::int64_t copy_bytes = 250'000;  // 200 ms at half of 20 Mbit/s
