--- a/benchmarks/measurements/capacity.cpp
+++ b/benchmarks/measurements/capacity.cpp
@@ -1,6 +1,6 @@
-// Measures the per-unit costs in docs/CAPACITY.md: CPU time, memory and traffic of one instance by
-// the number of peers, targets, flows and the size of configurations, each at several sizes. Covers
-// the core and the codec, without sockets.
+// Measures the per-unit costs in docs/CAPACITY-OWNERS.md: CPU time, memory and traffic of one
+// instance by the number of peers, targets, flows and the size of configurations, each at several
+// sizes. Covers the core and the codec, without sockets.
 #include <unistd.h>
 
 #include <array>
--- a/benchmarks/packet_path_benchmark.cpp
+++ b/benchmarks/packet_path_benchmark.cpp
@@ -1,4 +1,4 @@
-// Cost of one packet in the core and in the codec; docs/CAPACITY.md uses the slopes.
+// Cost of one packet in the core and in the codec; docs/CAPACITY-OWNERS.md uses the slopes.
 #include <benchmark/benchmark.h>
 
 #include <memory>
