Store: Continue a failed watch at its revision instead of reading all keys

Cause: after any failed watch all keys were read in their newest state.

The store answers 410 when it no longer has the changes since a revision, and only then are all keys read; `store/key_watch` has always done so. A response with many changes passes through the same full link as a page, so its timeout counts the time without a byte too.

a_failed_watch_is_followed_by_a_read_within_a_second required the read. Its reason, changes that are missed when the history was lost, is now reads_all_keys_when_the_history_was_lost_during_an_outage; that the store is called again within a second, and that the state is complete, is a_failed_watch_continues_at_its_revision_within_a_second.

--- a/libraries/store/feed.cpp
+++ b/libraries/store/feed.cpp
@@ -160,9 +160,11 @@
     watch_call_id_ = 0;
     const auto* result = std::get_if<watch_result>(&response);
     if (result == nullptr) {
-        // Changes may have been missed, whatever the reason.
-        must_read_ = true;
+        // The next watch continues at the revision of the mirror, so no change is missed while the
+        // store has its history. A read of all keys by each instance of a zone that was cut off
+        // would cost the store as much as a restart of the zone.
         if (std::get<result_code>(response) == result_code::history_gone) {
+            must_read_ = true;
             start_read(now);
         } else {
             fail(std::get<result_code>(response), now);
--- a/libraries/store/feed.h
+++ b/libraries/store/feed.h
@@ -6,8 +6,9 @@
 //
 // The store may be unreachable or slow, or may reject this instance alone; a response may be lost
 // while the connection stays open; the history may be lost. Each call has its own
-// timeout, and a failure is retried within a second unless watches are disabled. All keys are read
-// again whenever changes may have been missed.
+// timeout, and a failure is retried within a second unless watches are disabled. A watch that
+// failed continues at its revision; all keys are read again when the store no longer has the
+// changes since then, or after reread().
 //
 // Many instances may read at once and fill the store's link. A read then takes long, but it keeps
 // the pages that it has, requests only the missing one again, and sends no second request for a
--- a/libraries/store/store.h
+++ b/libraries/store/store.h
@@ -117,7 +117,8 @@
     // response.
     virtual void range(std::string_view prefix, std::string_view after_key,
                        read_freshness freshness, clock::duration timeout, callback<page> done) = 0;
-    // Responds at the first change after `revision`, or without events after `wait`.
+    // Responds at the first change after `revision`, or without events after `wait`. `timeout` is
+    // the longest time without a byte, since a response may hold thousands of changes.
     virtual void watch(std::string_view prefix, std::int64_t revision, clock::duration wait,
                        clock::duration timeout, callback<watch_result> done) = 0;
     virtual void commit(const transaction& request, clock::duration timeout,
