--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -89,7 +89,6 @@
 note "open flows of live hosts that a host which doesn't hold them has reset: $by_hosts"
 note "open flows of live hosts that an instance has reset: $by_instances (instance 1 isn't in touch, so these don't count)"
 if ((by_hosts > 0)); then
-    note "BROKEN"
-    exit 1
+    broken
 fi
 note "held"
--- a/review/fleet.sh
+++ b/review/fleet.sh
@@ -13,6 +13,7 @@
 store_host=127.0.73.1
 route_host=127.0.75.1
 trouble=${TROUBLE:-1}
+is_broken=no
 declare -A pids=()
 
 note() { # text; a line of the record, with seconds since the start
@@ -24,8 +25,17 @@
     exit 2
 }
 
+# Ends the case: the rule was broken.
+broken() {
+    note "BROKEN"
+    is_broken=yes
+    exit 1
+}
+
+# Any other failure of a command means that the case couldn't run, not that a rule was broken.
 end_processes() {
-    local pid
+    local status=$? pid
+    trap - EXIT
     for pid in "${pids[@]}"; do
         kill -KILL "$pid" 2>/dev/null || true
     done
@@ -33,6 +43,10 @@
         wait "$pid" 2>/dev/null || true
     done
     rm -rf "$workspace"
+    if ((status != 0)) && [[ $is_broken != yes ]]; then
+        status=2
+    fi
+    exit "$status"
 }
 
 begin_record() {
