Steering, Net: Drop openings that waited in the socket until their caller sent the next one

Work of requests that may run once at most was lost with these flows.

Cause: nothing knew for how long a packet had waited. A restarted instance binds its socket at once and receives from the routers until they have missed two probes, but read the socket only once it held its initial state. It then forwarded openings that were up to two seconds old. Their callers' retransmissions had opened the flows through other instances; a second target accepted, the caller returned the token of that target, and the next packet was reset there.

Fix: the socket is read from the start into a bounded backlog. A datagram can't have arrived before the socket was last found empty; this bound goes with it to the decision (max_socket_wait). steering forwards and refuses an opening only until its caller sends the next one, which is 200, 400 and 800 ms after the original and its retransmissions, less the time of the answer. By this, of an opening and its retransmissions only the newest can still be accepted, at whichever instance, and no refusal hits a flow that is open elsewhere.

Arrival times of the kernel use the wall clock, which may step.

The log line of an opening has max_socket_wait_ms, initial_state has waiting_packets, and the metrics count dropped_opening_too_late and bramleytrack_dropped_receives.

--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -23,6 +23,7 @@
     target_gone = 108,
     not_ready = 109,
     target_silent = 110,
+    opening_too_late = 111,
     unknown_flow = 201,
     no_eligible_target = 202,
     target_full = 203,
--- a/libraries/net/packet_socket.cpp
+++ b/libraries/net/packet_socket.cpp
@@ -11,8 +11,13 @@
 // Holds 250 ms of traffic while the event loop is busy, at 35,000 packets of about 480 bytes per
 // second. The kernel caps the size at net.core.rmem_max without reporting an error.
 constexpr int receive_buffer_size = 4 * 1024 * 1024;
+// As much again: an instance that waits for its initial state reads what the socket receives.
+constexpr std::size_t max_backlog_bytes = receive_buffer_size;
+// Bounds the reads per wake-up under a flood; twice what a socket buffer of the kernel's usual
+// limit holds.
+constexpr int max_batches_per_read = 16;
 // Bounds the work per wake-up, so that timers and readiness checks aren't delayed under a flood.
-constexpr int max_batches_per_wakeup = 4;
+constexpr int max_handled_per_wakeup = 256;
 
 }  // namespace
 
@@ -20,7 +25,9 @@
                              receive_callback on_receive)
     : socket_{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)},
       on_receive_{std::move(on_receive)},
+      backlog_{max_backlog_bytes, clock::now()},
       readable_{loop},
+      idle_{loop},
       receive_buffers_(batch_size),
       receive_iovecs_(batch_size),
       receive_headers_(batch_size),
@@ -45,14 +52,18 @@
         send_headers_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
     }
     readable_.set<packet_socket, &packet_socket::on_readable>(this);
-}
-
-void packet_socket::start_receiving() {
     readable_.start(socket_.get(), ev::READ);
+    idle_.set<packet_socket, &packet_socket::on_idle>(this);
 }
 
 packet_socket::~packet_socket() {
     readable_.stop();
+    idle_.stop();
+}
+
+void packet_socket::start_handling() {
+    is_handling_ = true;
+    watch_backlog();
 }
 
 std::span<std::uint8_t> packet_socket::next_buffer() {
@@ -89,22 +100,57 @@
     queued_count_ = 0;
 }
 
-int packet_socket::receive() {
-    return recvmmsg(socket_.get(), receive_headers_.data(), batch_size, MSG_DONTWAIT, nullptr);
-}
-
-void packet_socket::on_readable(ev::io& /*watcher*/, int /*events*/) {
-    for (int batch = 0; batch < max_batches_per_wakeup; ++batch) {
-        const int count = receive();
+void packet_socket::receive() {
+    for (int batch = 0; batch < max_batches_per_read; ++batch) {
+        backlog_.begin_read(clock::now());
+        const int count = receive_batch();
         for (int i = 0; i < count; ++i) {
             const auto index = static_cast<std::size_t>(i);
-            on_receive_({receive_buffers_[index].data(), receive_headers_[index].msg_len});
+            backlog_.add({receive_buffers_[index].data(), receive_headers_[index].msg_len});
         }
-        flush();
         if (count < static_cast<int>(batch_size)) {
-            return;
+            if (count >= 0 || errno == EAGAIN) {
+                backlog_.on_socket_empty();
+            }
+            break;
         }
     }
+    watch_backlog();
+}
+
+void packet_socket::watch_backlog() {
+    if (is_handling_ && !backlog_.is_empty()) {
+        idle_.start();
+    } else {
+        idle_.stop();
+    }
+}
+
+int packet_socket::receive_batch() {
+    return recvmmsg(socket_.get(), receive_headers_.data(), batch_size, MSG_DONTWAIT, nullptr);
+}
+
+void packet_socket::handle_backlog() {
+    for (int handled = 0; handled < max_handled_per_wakeup; ++handled) {
+        const auto next = backlog_.take();
+        if (!next) {
+            break;
+        }
+        on_receive_(next->bytes, next->earliest_arrival);
+    }
+    flush();
+    watch_backlog();
+}
+
+void packet_socket::on_readable(ev::io& /*watcher*/, int /*events*/) {
+    receive();
+    if (is_handling_) {
+        handle_backlog();
+    }
+}
+
+void packet_socket::on_idle(ev::idle& /*watcher*/, int /*events*/) {
+    handle_backlog();
 }
 
 }  // namespace bramleytrack::net
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -53,6 +53,7 @@
     std::int64_t malformed_datagrams = 0;
     std::int64_t rejected_peer_messages = 0;
     std::int64_t dropped_sends = 0;
+    std::int64_t dropped_receives = 0;
     std::int64_t target_probes = 0;
     std::int64_t targets_found_dead = 0;
     std::int64_t initial_state_ms = -1;  // from the start of the process; -1: not received yet
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -77,6 +77,9 @@
             .with("wanted_elsewhere", std::llround(entry.usage.demand().remote));
     }
     event.with("ground", name_of(entry.ground));
+    if (packet.max_socket_wait > clock::duration{0}) {
+        event.with("max_socket_wait_ms", packet.max_socket_wait.count());
+    }
     if (entry.waited > clock::duration{0}) {
         event.with("waited_ms", entry.waited.count());
     }
--- a/libraries/steering/segment.h
+++ b/libraries/steering/segment.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <variant>
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "base/result_code.h"
 #include "discovery/target.h"
@@ -45,6 +46,8 @@
     bool is_opening = false;
     bool is_closing = false;
     bool is_reset = false;
+    // How long it may have waited in this instance's socket at most. Set by the receiver.
+    clock::duration max_socket_wait{0};
 };
 
 // A reset that this instance sends to the caller.
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -90,6 +90,9 @@
         record_opening(packet, state, route, outcome, placement, clock::duration{0}, now);
         return outcome;
     };
+    if (packet.max_socket_wait >= lifetime_of_opening(packet.copy)) {
+        return record_outcome(drop{result_code::opening_too_late});
+    }
     if (!state.is_complete) {
         return record_outcome(drop{result_code::not_ready});
     }
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -23,6 +23,7 @@
 #include "steering/decision.h"
 #include "steering/decision_log.h"
 #include "steering/flow_tracker.h"
+#include "steering/opening_lifetime.h"
 #include "steering/opening_placement.h"
 #include "steering/opening_queue.h"
 #include "steering/remote_load.h"
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -87,8 +87,11 @@
       peer_exchange_{loop, settings_, mirror_, digests_, log_},
       target_checks_{loop, settings_, directory_, steering_, peer_exchange_, log_},
       caller_port_{ntohs(parse_bind_address(settings_.packet_address).sin_port)},
-      packet_socket_{loop, parse_bind_address(settings_.packet_address),
-                     [this](std::span<const std::uint8_t> datagram) { on_datagram(datagram); }},
+      packet_socket_{
+          loop, parse_bind_address(settings_.packet_address),
+          [this](std::span<const std::uint8_t> datagram, clock::time_point earliest_arrival) {
+              on_datagram(datagram, earliest_arrival);
+          }},
       readiness_server_{loop, settings_.readiness_address,
                         [this](const net::http_request&, const net::http_responder& respond) {
                             respond({.status = is_ready_ ? http_ok : http_unavailable, .body = ""});
@@ -178,6 +181,7 @@
 
 void steering_daemon::on_tick(ev::timer& /*watcher*/, int /*events*/) {
     const auto now = clock::now();
+    packet_socket_.receive();
     pause_guard_.on_event(now);
     const auto pause = pause_guard_.take_pause();
     if (pause > clock::duration{0}) {
@@ -207,12 +211,13 @@
     observability::flush_log();
 }
 
-void steering_daemon::on_datagram(std::span<const std::uint8_t> datagram) {
+void steering_daemon::on_datagram(std::span<const std::uint8_t> datagram,
+                                  clock::time_point earliest_arrival) {
     const auto now = clock::now();
     pause_guard_.on_event(now);
     last_packet_at_ = now;
-    const auto decoded = platform_.packets.decode(datagram);
-    const auto* segment = std::get_if<steering::segment>(&decoded);
+    auto decoded = platform_.packets.decode(datagram);
+    auto* segment = std::get_if<steering::segment>(&decoded);
     if (segment == nullptr) {
         ++malformed_datagrams_;
         return;
@@ -220,6 +225,7 @@
     if (segment->is_opening && pause_guard_.is_catching_up(now)) {
         return;
     }
+    segment->max_socket_wait = now - earliest_arrival;
     const auto decision = steering_.on_segment(*segment, directory_state(), now, datagram);
     if (const auto* forward = std::get_if<steering::forward>(&decision)) {
         send_forward(datagram, *forward->to);
@@ -363,18 +369,16 @@
     startup_.finish();
     feed_.skip_first_read(now);
     update_source_.on_initial_state(now);
-    log_.write(log_event{"initial_state"}
-                   .with("after_ms", initial_state_after_.count())
-                   .with("revision", mirror_.revision())
-                   .with("listings", startup_.listings())
-                   .with("store_calls", feed_.calls())
-                   .with("peer_queries", startup_.queries()));
-    // Packets have waited in the socket until now. Stale openings among them are
-    // dropped only if the process was paused for pause_limits::min_pause just before: the ticks
-    // call on_event() every 100 ms from the start, so a slow first read alone is not detected,
-    // and openings that waited for it are forwarded.
+    log_.write(
+        log_event{"initial_state"}
+            .with("after_ms", initial_state_after_.count())
+            .with("revision", mirror_.revision())
+            .with("listings", startup_.listings())
+            .with("store_calls", feed_.calls())
+            .with("peer_queries", startup_.queries())
+            .with("waiting_packets", static_cast<std::int64_t>(packet_socket_.backlog_size())));
     pause_guard_.on_event(now);
-    packet_socket_.start_receiving();
+    packet_socket_.start_handling();
 }
 
 void steering_daemon::apply_changes(std::span<const store::event> events, clock::time_point now) {
@@ -557,6 +561,7 @@
                             .malformed_datagrams = malformed_datagrams_,
                             .rejected_peer_messages = peer_exchange_.rejected_messages(),
                             .dropped_sends = packet_socket_.dropped_sends(),
+                            .dropped_receives = packet_socket_.dropped_receives(),
                             .target_probes = target_checks_.probes_started(),
                             .targets_found_dead = target_checks_.targets_found_dead(),
                             .initial_state_ms = initial_state_after_.count(),
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -56,7 +56,7 @@
     void on_tick(ev::timer& watcher, int events);
     void on_terminate(ev::sig& watcher, int events);
     void on_reload(ev::sig& watcher, int events);
-    void on_datagram(std::span<const std::uint8_t> datagram);
+    void on_datagram(std::span<const std::uint8_t> datagram, clock::time_point earliest_arrival);
     void apply_changes(std::span<const store::event> events, clock::time_point now);
     void on_store_change(std::span<const store::event> events, clock::time_point now);
     void on_pull_result(const peer_exchange::pull_result& result, clock::time_point now);
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -15,6 +15,7 @@
         store::callback<store::lookup_result> done;
     };
     struct range_call {
+        std::string prefix;
         std::string after_key;
         store::read_freshness freshness = store::read_freshness::newest;
         store::callback<store::page> done;
@@ -46,11 +47,12 @@
              store::callback<store::lookup_result> done) override {
         gets.push_back({.key = std::string{key}, .done = std::move(done)});
     }
-    void range(std::string_view /*prefix*/, std::string_view after_key,
-               store::read_freshness freshness, clock::duration /*timeout*/,
-               store::callback<store::page> done) override {
-        ranges.push_back(
-            {.after_key = std::string{after_key}, .freshness = freshness, .done = std::move(done)});
+    void range(std::string_view prefix, std::string_view after_key, store::read_freshness freshness,
+               clock::duration /*timeout*/, store::callback<store::page> done) override {
+        ranges.push_back({.prefix = std::string{prefix},
+                          .after_key = std::string{after_key},
+                          .freshness = freshness,
+                          .done = std::move(done)});
     }
     void watch(std::string_view /*prefix*/, std::int64_t revision, clock::duration /*wait*/,
                clock::duration /*timeout*/, store::callback<store::watch_result> done) override {
