Steering: Judge openings after a pause by their own wait, not by a time window

What callers saw: after a freeze, callers of a small instance lost open flows to late openings, and callers that were new had to retransmit (200 ms).

Cause: the same as for the start, nothing knew how long a packet had waited. pause_guard dropped all openings for 30 ms after a gap of 250 ms or more between two events. Reading a backlog takes longer on a small share of a core; gaps of 200 to 250 ms passed; and an opening that had just arrived was dropped with the old ones.

What is left of the class detects pauses for reading the store again: pause_detector.

--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -141,7 +141,7 @@
     reload_signal_.set<steering_daemon, &steering_daemon::on_reload>(this);
     reload_signal_.start(SIGHUP);
     started_at_ = clock::now();
-    pause_guard_.on_event(started_at_);
+    pause_detector_.on_event(started_at_);
     settings_text_ = read_settings_();
     log_.write(log_event{"started"}
                    .with("zone", settings_.zone)
@@ -182,8 +182,8 @@
 void steering_daemon::on_tick(ev::timer& /*watcher*/, int /*events*/) {
     const auto now = clock::now();
     packet_socket_.receive();
-    pause_guard_.on_event(now);
-    const auto pause = pause_guard_.take_pause();
+    pause_detector_.on_event(now);
+    const auto pause = pause_detector_.take_pause();
     if (pause > clock::duration{0}) {
         log_.write(log_event{"paused"}.with("for_ms", pause.count()));
     }
@@ -214,7 +214,7 @@
 void steering_daemon::on_datagram(std::span<const std::uint8_t> datagram,
                                   clock::time_point earliest_arrival) {
     const auto now = clock::now();
-    pause_guard_.on_event(now);
+    pause_detector_.on_event(now);
     last_packet_at_ = now;
     auto decoded = platform_.packets.decode(datagram);
     auto* segment = std::get_if<steering::segment>(&decoded);
@@ -222,9 +222,6 @@
         ++malformed_datagrams_;
         return;
     }
-    if (segment->is_opening && pause_guard_.is_catching_up(now)) {
-        return;
-    }
     segment->max_socket_wait = now - earliest_arrival;
     const auto decision = steering_.on_segment(*segment, directory_state(), now, datagram);
     if (const auto* forward = std::get_if<steering::forward>(&decision)) {
@@ -377,7 +374,7 @@
             .with("store_calls", feed_.calls())
             .with("peer_queries", startup_.queries())
             .with("waiting_packets", static_cast<std::int64_t>(packet_socket_.backlog_size())));
-    pause_guard_.on_event(now);
+    pause_detector_.on_event(now);
     packet_socket_.start_handling();
 }
 
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -25,7 +25,7 @@
 #include "observability/steering_metrics.h"
 #include "peer_exchange.h"
 #include "settings/steering_settings.h"
-#include "steering/pause_guard.h"
+#include "steering/pause_detector.h"
 #include "steering/steering.h"
 #include "store/feed.h"
 #include "target_checks.h"
@@ -99,7 +99,7 @@
     fleet::update_source_selector update_source_;
     fleet::startup_recovery startup_recovery_;
     steering::steering steering_;
-    steering::pause_guard pause_guard_;
+    steering::pause_detector pause_detector_;
     store::feed feed_;
     discovery::registration registration_;
     fleet::startup_sync startup_;
--- a/tests/steering_daemon_test.cpp
+++ b/tests/steering_daemon_test.cpp
@@ -176,5 +176,26 @@
     EXPECT_FALSE(forwarded_.contains(late));
 }
 
+TEST_F(steering_daemon_with_sockets, after_a_pause_drops_late_openings_and_places_new_ones) {
+    // Guards against a time window in place of the wait of each packet: within it new openings are
+    // dropped as well, and late ones that are read after it are forwarded.
+    ASSERT_TRUE(is_opening_forwarded_in_time());
+    constexpr std::uint16_t late = 1;
+    constexpr std::uint16_t first_new = 100;
+    constexpr std::uint16_t attempts = 5;  // on a busy machine the process may be paused once more
+    std::uint16_t attempt = 0;
+    while (attempt < attempts &&
+           !forwarded_.contains(static_cast<std::uint16_t>(first_new + attempt))) {
+        ++attempt;
+        send_opening(late);
+        std::this_thread::sleep_for(std::chrono::milliseconds{400});
+        step();
+        send_opening(static_cast<std::uint16_t>(first_new + attempt));
+        run_for(clock::duration{20});
+    }
+    EXPECT_TRUE(forwarded_.contains(static_cast<std::uint16_t>(first_new + attempt)));
+    EXPECT_FALSE(forwarded_.contains(late));
+}
+
 }  // namespace
 }  // namespace bramleytrack
