Steering: Count the wait in the socket into the wait in the opening queue

What callers saw: under load, with an instance that was busy or had been paused, an opening could be placed or refused after its caller's retransmission had opened the flow through another instance; the open flow was then reset.

Cause: the queue counted an opening's time from the moment at which it was read, so that 150 ms in the socket and up to 180 ms in the queue added up. Besides, an opening whose wait had ended during a pause of the process still stood for its flow when the copy was read: the copy was merged with it, and the caller had to wait for the next one.

Fix: an opening may wait for what its time in the socket has left of opening_lifetime; a refusal is dropped by its whole age; waits that are over end before a further opening of the same flow is decided.

Tests: late_openings.wait_in_the_queue_only_for_what_the_socket_has_left_of_their_time, are_refused_in_time_when_their_wait_in_the_queue_is_over and in_the_queue_give_way_to_the_copy_of_the_same_caller; all three failed before and hold now.

--- a/libraries/steering/opening_lifetime.h
+++ b/libraries/steering/opening_lifetime.h
@@ -28,11 +28,17 @@
     clock::duration response_allowance{20};
 };
 
+// The time from an opening to the caller's next one, or after the last one until it gives up.
 // `copy` is the number of the retransmission, 0 for the original.
+constexpr clock::duration time_to_retransmission(std::uint32_t copy,
+                                                 const opening_lifetime_limits& limits = {}) {
+    const auto doublings = std::min(copy, limits.max_retransmissions);
+    return limits.retransmission_interval * (1 << doublings);
+}
+
 constexpr clock::duration lifetime_of_opening(std::uint32_t copy,
                                               const opening_lifetime_limits& limits = {}) {
-    const auto doublings = std::min(copy, limits.max_retransmissions);
-    return limits.retransmission_interval * (1 << doublings) - limits.response_allowance;
+    return time_to_retransmission(copy, limits) - limits.response_allowance;
 }
 
 }  // namespace bramleytrack::steering
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -97,6 +97,7 @@
         return record_outcome(drop{result_code::not_ready});
     }
     const bool is_state_fresh = now - state.confirmed <= limits_.max_refusal_staleness;
+    end_expired_waits(now);
     if (waiting_.contains(packet.flow)) {
         return hold{result_code::queue_full};
     }
@@ -173,7 +174,7 @@
                                   std::span<const std::uint8_t> datagram, clock::time_point now) {
     const auto objective = static_cast<double>(route.latency_objective.count());
     const clock::duration max_wait = std::min(
-        limits_.max_opening_wait,
+        lifetime_of_opening(packet.copy) - packet.max_socket_wait,
         clock::duration{static_cast<std::int64_t>(objective * admission_.opening_wait_fraction)});
     const refuse refusal{{.flow = packet.flow}, result_code::queue_full};
     if (is_stopping_ || admission_.opening_queue_entries == 0 || max_wait <= clock::duration{0}) {
@@ -197,9 +198,17 @@
     for (const auto& service : waiting_.services()) {
         release_waiting_of(service, state, now);
     }
+    end_expired_waits(now);
+}
+
+void steering::end_expired_waits(clock::time_point now) {
+    if (!waiting_.has_entries()) {
+        return;
+    }
     for (const auto& each : waiting_.take_expired(now)) {
         // After a pause of the process, another instance may have opened the flow.
-        const bool is_too_old = now - each.queued_at >= limits_.opening_retransmission_interval;
+        const auto max_age = now - each.queued_at + each.packet.max_socket_wait;
+        const bool is_too_old = max_age >= time_to_retransmission(each.packet.copy);
         const refuse refusal{{.flow = each.packet.flow}, result_code::queue_full};
         const bool is_evicted = each.refuse_at > now;
         end_wait(each, is_evicted ? wait_outcome::refused : wait_outcome::expired,
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -42,10 +42,6 @@
     // confirmed. Callers are refused only while the confirmation is younger than the time within
     // which a configuration change must reach every instance.
     clock::duration max_refusal_staleness{3'000};
-    // Callers retransmit an opening after 200 ms, and another instance may receive that packet and
-    // open the flow. Openings wait for less, and one that is older is neither placed nor reset.
-    clock::duration max_opening_wait{180};
-    clock::duration opening_retransmission_interval{200};
 };
 
 // Receives measurements and decisions, for the metrics.
@@ -150,6 +146,8 @@
                         clock::time_point now);
     void end_wait(const waiting_opening& opening, wait_outcome outcome, const decision& decided,
                   clock::time_point now);
+    // Refuses the openings whose wait is over. Drops those that are too late even for that.
+    void end_expired_waits(clock::time_point now);
     void record_opening(const segment& packet, const directory_state& state,
                         const discovery::route* route, const decision& outcome,
                         const placement_outcome& placement, clock::duration waited,
--- a/tests/steering_late_openings_test.cpp
+++ b/tests/steering_late_openings_test.cpp
@@ -51,19 +51,21 @@
         return {.is_complete = true, .confirmed = now};
     }
 
-    // Opens flows until a further opening has to wait.
+    // Opens flows until the service has no capacity left. Further openings wait for it.
     void fill_service() {
-        steering_.set_admission({.opening_queue_entries = 100, .opening_wait_fraction = 0.5});
         std::uint16_t port = 1'000;
-        while (
-            std::holds_alternative<steering::forward>(open(port, 0, clock::duration{0}, start))) {
+        while (is_forwarded(open(port, 0, clock::duration{0}, start))) {
             ++port;
         }
+        steering_.set_admission({.opening_queue_entries = 100, .opening_wait_fraction = 0.5});
     }
 
     static bool is_dropped(const steering::decision& outcome) {
         return std::holds_alternative<steering::drop>(outcome);
     }
+    static bool is_held(const steering::decision& outcome) {
+        return std::holds_alternative<steering::hold>(outcome);
+    }
     static bool is_forwarded(const steering::decision& outcome) {
         return std::holds_alternative<steering::forward>(outcome);
     }
@@ -115,5 +117,48 @@
     }
 }
 
+// The outcomes of the openings that have left the queue.
+std::vector<steering::decision> take_outcomes(steering::steering& from) {
+    std::vector<steering::decision> result;
+    for (auto& each : from.take_released()) {
+        result.push_back(each.outcome);
+    }
+    return result;
+}
+
+TEST_F(late_openings, wait_in_the_queue_only_for_what_the_socket_has_left_of_their_time) {
+    // Guards against two waits that add up: an opening that has waited 150 ms in the socket was
+    // placed after 150 ms more in the queue, 100 ms after its copy was accepted elsewhere.
+    fill_service();
+    ASSERT_TRUE(is_held(open(1, 0, clock::duration{150}, start)));
+    const auto later = start + clock::duration{150};
+    const auto added = testing::board_target("i-2", "north", slots);
+    directory_.apply(added, 3, false, later);
+    steering_.release_waiting(state_at(later), later);
+    const auto outcomes = take_outcomes(steering_);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_TRUE(is_dropped(outcomes.front()));
+}
+
+TEST_F(late_openings, are_refused_in_time_when_their_wait_in_the_queue_is_over) {
+    fill_service();
+    ASSERT_TRUE(is_held(open(1, 0, clock::duration{100}, start)));
+    const auto later = start + clock::duration{90};
+    steering_.release_waiting(state_at(later), later);
+    const auto outcomes = take_outcomes(steering_);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<steering::refuse>(outcomes.front()));
+}
+
+TEST_F(late_openings, in_the_queue_give_way_to_the_copy_of_the_same_caller) {
+    // Guards against a copy that is merged with an opening whose wait has ended during a pause of
+    // the process: the caller would wait for another copy although a target is free.
+    fill_service();
+    ASSERT_TRUE(is_held(open(1, 0, clock::duration{0}, start)));
+    const auto later = start + clock::duration{400};
+    directory_.apply(testing::board_target("i-2", "north", slots), 3, false, later);
+    EXPECT_TRUE(is_forwarded(open(1, 1, clock::duration{200}, later)));
+}
+
 }  // namespace
 }  // namespace bramleytrack
