Fleet: Count the time that a digest waited in the socket during a pause

After a pause, an instance reads digests that arrived before and during it, and took their "confirmed N ms ago" as counted from the moment of reading. Its own state then passed for current, up to the length of the pause too long, and it would refuse callers of a route that was added meanwhile.

Fix: the endpoint knows when its socket was last found empty, and a digest counts as received then if it may have waited 250 ms or more. A shorter wait is the delay of the event loop; it isn't counted, since the bound is up to a tick too long and the age of a confirmation is passed on from peer to peer, where it would add up and make instances read the store. A report of a lost store keeps the time of reading, which presumes targets alive for longer.

Test: fleet_update_source_selector.a_digest_that_waited_during_a_pause_confirms_no_later_state; with the wait not counted it failed (4 s too new in both checks).

--- a/libraries/fleet/peer_digests.cpp
+++ b/libraries/fleet/peer_digests.cpp
@@ -9,6 +9,9 @@
 
 // Digests of peers that have sent none for longer are discarded.
 constexpr clock::duration retention{10'000};
+// A shorter wait is the delay of the event loop. The bound is no exact time, and the age of a
+// confirmation adds up from peer to peer.
+constexpr clock::duration min_counted_wait{250};
 // Each peer sends a digest every 300 ms; sums that are older by a sixth of that change no
 // placement.
 constexpr clock::duration summary_lifetime{50};
@@ -57,18 +60,20 @@
       random_{static_cast<std::minstd_rand::result_type>(seed)},
       route_keys_{directory} {}
 
-void peer_digests::on_digest(std::string_view sender, wire::digest content, clock::time_point now) {
+void peer_digests::on_digest(std::string_view sender, wire::digest content, clock::time_point now,
+                             clock::duration max_socket_wait) {
     if (sender == self_) {
         return;
     }
+    const auto arrived_at = max_socket_wait < min_counted_wait ? now : now - max_socket_wait;
     auto& entry = received_[std::string{sender}];
     entry.confirmed = content.confirmed_ms_ago < 0
                           ? clock::time_point{}
-                          : now - clock::duration{content.confirmed_ms_ago};
+                          : arrived_at - clock::duration{content.confirmed_ms_ago};
     store_failure_reported_at_ = content.has_lost_store ? now : store_failure_reported_at_;
     entry.content = std::move(content);
-    entry.at = now;
-    last_received_at_ = now;
+    entry.at = arrived_at;
+    last_received_at_ = arrived_at;
 }
 
 void peer_digests::expire(clock::time_point now) {
--- a/libraries/fleet/peer_digests.h
+++ b/libraries/fleet/peer_digests.h
@@ -59,7 +59,9 @@
     peer_digests(const discovery::directory& directory, std::string self, std::string zone,
                  std::uint64_t seed, digest_limits limits = {});
 
-    void on_digest(std::string_view sender, wire::digest content, clock::time_point now);
+    // `max_socket_wait`: how long the digest may have waited in this instance's socket.
+    void on_digest(std::string_view sender, wire::digest content, clock::time_point now,
+                   clock::duration max_socket_wait = clock::duration{0});
     void expire(clock::time_point now);
 
     bool is_fresh(const received_digest& subject, clock::time_point now) const {
--- a/libraries/net/udp_endpoint.cpp
+++ b/libraries/net/udp_endpoint.cpp
@@ -99,12 +99,18 @@
 }
 
 void udp_endpoint::on_readable(ev::io& /*watcher*/, int /*events*/) {
+    receive();
+}
+
+void udp_endpoint::receive() {
     for (int i = 0; i < max_datagrams_per_wakeup; ++i) {
+        const auto read_began_at = clock::now();
         sockaddr_in sender{};
         socklen_t size = sizeof(sender);
         const auto received = recvfrom(socket_, buffer_.data(), buffer_.size(), 0,
                                        reinterpret_cast<sockaddr*>(&sender), &size);
         if (received < 0) {
+            last_empty_at_ = read_began_at;
             return;
         }
         on_receive_(to_string(sender), {buffer_.data(), static_cast<std::size_t>(received)});
--- a/libraries/net/udp_endpoint.h
+++ b/libraries/net/udp_endpoint.h
@@ -13,6 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/clock.h"
+
 namespace bramleytrack::net {
 
 // Parses "ip:port" with a numeric IPv4 address; std::nullopt for any other text.
@@ -34,6 +36,14 @@
     // is full, is dropped and counted in dropped_sends().
     void send(std::string_view address, std::span<const std::uint8_t> datagram);
 
+    // Passes what the socket holds to the callback. The event loop calls it when there is
+    // something; a call every tick as well keeps last_empty_at() recent on a socket without
+    // traffic.
+    void receive();
+    // When the socket was last found empty. The datagrams that the callback gets now were not there
+    // then, and may have waited since.
+    clock::time_point last_empty_at() const { return last_empty_at_; }
+
     std::string local_address() const;
     std::int64_t dropped_sends() const { return dropped_sends_; }
 
@@ -46,6 +56,7 @@
     std::vector<std::uint8_t> buffer_;
     std::unordered_map<std::string, sockaddr_in> address_cache_;  // bounded in send()
     std::int64_t dropped_sends_ = 0;
+    clock::time_point last_empty_at_ = clock::now();
 };
 
 }  // namespace bramleytrack::net
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -190,7 +190,7 @@
     const bool is_newer = content.known_revision > mirror_.revision();
     const auto dead_targets = std::exchange(content.dead, {});
     const auto slow_targets = fleet::speed_reports_of(content);
-    digests_.on_digest(peer, std::move(content), now);
+    digests_.on_digest(peer, std::move(content), now, now - digest_socket_.last_empty_at());
     if (!dead_targets.empty()) {
         dead_targets_callback_(peer, dead_targets, now);
     }
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -112,6 +112,9 @@
     void send_probe_result(const discovery::peer_entry& peer, discovery::routing_token token,
                            bool is_reachable);
 
+    // Handles the messages that have arrived. To be called every tick, so that the wait of a
+    // message is known.
+    void receive() { digest_socket_.receive(); }
     // Sends a digest if one is due, or at once if the revision has risen or there is a new verdict
     // on a dead target.
     void tick(const digest_state& state, const steering::steering& steering, clock::time_point now,
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -182,6 +182,7 @@
 void steering_daemon::on_tick(ev::timer& /*watcher*/, int /*events*/) {
     const auto now = clock::now();
     packet_socket_.receive();
+    peer_exchange_.receive();
     pause_detector_.on_event(now);
     const auto pause = pause_detector_.take_pause();
     if (pause > clock::duration{0}) {
--- a/tests/fleet_update_source_selector_test.cpp
+++ b/tests/fleet_update_source_selector_test.cpp
@@ -96,6 +96,20 @@
     EXPECT_EQ(update_source_.confirmed_at(feed_, 5), start);
 }
 
+TEST_F(fleet_update_source_selector, a_digest_that_waited_during_a_pause_confirms_no_later_state) {
+    // Guards against a paused instance that takes digests from before its pause for new ones, and
+    // refuses callers of a route that was added meanwhile.
+    const auto watcher_name = watcher();
+    add_peer(watcher_name);
+    const clock::duration pause{4'000};
+    digests_.on_digest(watcher_name, digest(5, 100), start, pause);
+    EXPECT_EQ(digests_.received().at(watcher_name).confirmed, start - clock::duration{4'100});
+    EXPECT_EQ(digests_.last_received_at(), start - pause);
+    // The delay of the event loop does not add up from peer to peer.
+    digests_.on_digest(watcher_name, digest(5, 100), start, clock::duration{100});
+    EXPECT_EQ(digests_.received().at(watcher_name).confirmed, start - clock::duration{100});
+}
+
 TEST_F(fleet_update_source_selector, watches_when_the_digests_of_the_watcher_stop) {
     // The watcher is killed immediately before a change. A change must be in force after 3 s.
     const auto watcher_name = watcher();
--- a/tests/steering_daemon_test.cpp
+++ b/tests/steering_daemon_test.cpp
@@ -6,9 +6,11 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <optional>
 #include <set>
+#include <system_error>
 #include <thread>
 
 #include "discovery/peer_shard.h"
@@ -36,7 +38,9 @@
 net::descriptor udp_socket() {
     net::descriptor result{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
     const auto any = *net::parse_address("127.0.0.1:0");
-    bind(result.get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any));
+    if (bind(result.get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)) != 0) {
+        throw std::system_error(errno, std::generic_category(), "bind");
+    }
     return result;
 }
 
