Net: Count the memory of each datagram in the backlog, not only its bytes

Found by reading the diff: a flood of empty datagrams at an instance that waits for its initial state would never have filled the backlog, so that nothing bounded its memory. Each datagram now costs at least the size of its record. receive_backlog.a_flood_of_empty_datagrams_is_bounded guards it; that it fails on the commit before is worked out, not run.

--- a/libraries/net/receive_backlog.cpp
+++ b/libraries/net/receive_backlog.cpp
@@ -5,27 +5,24 @@
 namespace bramleytrack::net {
 
 void receive_backlog::add(std::span<const std::uint8_t> datagram) {
-    while (!datagrams_.empty() && bytes_ + datagram.size() > max_bytes_) {
-        drop_oldest();
+    const auto cost = cost_of(datagram.size());
+    while (!datagrams_.empty() && bytes_ + cost > max_bytes_) {
+        remove_oldest();
+        ++dropped_;
     }
-    bytes_ += datagram.size();
+    bytes_ += cost;
     datagrams_.push_back(
         {.bytes = {datagram.begin(), datagram.end()}, .earliest_arrival = empty_at_});
 }
 
-void receive_backlog::drop_oldest() {
-    bytes_ -= datagrams_.front().bytes.size();
-    datagrams_.pop_front();
-    ++dropped_;
+std::optional<received_datagram> receive_backlog::take() {
+    return datagrams_.empty() ? std::nullopt : std::optional{remove_oldest()};
 }
 
-std::optional<received_datagram> receive_backlog::take() {
-    if (datagrams_.empty()) {
-        return std::nullopt;
-    }
+received_datagram receive_backlog::remove_oldest() {
     auto result = std::move(datagrams_.front());
-    bytes_ -= result.bytes.size();
     datagrams_.pop_front();
+    bytes_ -= cost_of(result.bytes.size());
     return result;
 }
 
--- a/libraries/net/receive_backlog.h
+++ b/libraries/net/receive_backlog.h
@@ -25,7 +25,8 @@
 
 class receive_backlog {
 public:
-    // `max_bytes` bounds the contents; the oldest datagrams are dropped for newer ones.
+    // `max_bytes` bounds the memory of the contents; the oldest datagrams are dropped for newer
+    // ones.
     receive_backlog(std::size_t max_bytes, clock::time_point opened_at)
         : max_bytes_{max_bytes}, empty_at_{opened_at} {}
 
@@ -44,11 +45,14 @@
     std::int64_t dropped() const { return dropped_; }
 
 private:
-    void drop_oldest();
+    // The memory of a datagram of this size. Even an empty one takes some, so that a flood of them
+    // is bounded as well.
+    static std::size_t cost_of(std::size_t size) { return sizeof(received_datagram) + size; }
+    received_datagram remove_oldest();
 
     std::size_t max_bytes_;
     std::deque<received_datagram> datagrams_;
-    std::size_t bytes_ = 0;  // the sum over datagrams_
+    std::size_t bytes_ = 0;  // the sum of cost_of() over datagrams_
     clock::time_point read_began_at_;
     // When the socket was last known to be empty. Taken before the read that found it empty, so
     // that a pause during that read makes it too old and never too recent.
