--- a/tests/steering_late_openings_test.cpp
+++ b/tests/steering_late_openings_test.cpp
@@ -141,6 +141,7 @@
 }
 
 TEST_F(late_openings, are_refused_in_time_when_their_wait_in_the_queue_is_over) {
+    // Guards against a wait that ends in silence: the caller could have tried again at once.
     fill_service();
     ASSERT_TRUE(is_held(open(1, 0, clock::duration{100}, start)));
     const auto later = start + clock::duration{90};
