--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -7,7 +7,8 @@
 standins=$root/target/standins
 record=$folder/record.txt
 zones=(north middle south)
-hosts=8 # 1 to 6 serve "board", two in each zone; 7 and 8 serve "plans"
+hosts=8       # 1 to 6 serve "board", two in each zone; 7 and 8 serve "plans"
+added_hosts=0 # started later by the script, with the numbers from 9 on; they serve "board"
 declare -A pids=()
 workspace=
 started_at=
@@ -66,8 +67,13 @@
     echo "${zones[$((($1 - 1) % 3))]}"
 }
 
+declare -A id_of=() # of hosts with another id than i-a and their number
+host_id() { # number of a host
+    echo "${id_of[$1]:-i-a$1}"
+}
+
 service_of() { # number of a host
-    (($1 <= 6)) && echo board || echo plans
+    (($1 == 7 || $1 == 8)) && echo plans || echo board
 }
 
 configure() { # version, further routes
@@ -101,8 +107,8 @@
 JSON
         instance_list+="${instance_list:+,}{\"packet_address\":\"127.0.1.$i:$packet_port\",\"readiness_address\":\"127.0.1.$i:$readiness_port\"}"
     done
-    for ((i = 1; i <= hosts; ++i)); do
-        host_list+="${host_list:+,}{\"id\":\"i-a$i\",\"service\":\"$(service_of "$i")\",\"address\":\"127.0.2.$i:$packet_port\"}"
+    for ((i = 1; i <= hosts + added_hosts; ++i)); do
+        host_list+="${host_list:+,}{\"id\":\"$(host_id "$i")\",\"service\":\"$(service_of "$i")\",\"address\":\"127.0.2.$i:$packet_port\"}"
     done
     cat >"$workspace/fleet.json" <<JSON
 { "caller_address": "127.0.4.1:$packet_port",
@@ -117,6 +123,14 @@
     start "front-$1" env BRAMLEYTRACK_BOOT="$workspace/front-$1.json" "$daemon" --steer
 }
 
+start_host() { # number, further options
+    local i=$1
+    shift
+    start "$(host_id "$i")" "$standins/standin_flow_target" --id "$(host_id "$i")" \
+        --service "$(service_of "$i")" --zone "$(zone_of "$i")" --address "127.0.2.$i:$packet_port" \
+        --store "$store" --caller-port "$packet_port" "$@"
+}
+
 start_fleet() {
     local i
     : >"$record"
@@ -129,9 +143,7 @@
     sleep 0.3
     configure 1
     for ((i = 1; i <= hosts; ++i)); do
-        start "i-a$i" "$standins/standin_flow_target" --id "i-a$i" --service "$(service_of "$i")" \
-            --zone "$(zone_of "$i")" --address "127.0.2.$i:$packet_port" --store "$store" \
-            --caller-port "$packet_port"
+        start_host "$i"
     done
     for i in 1 2 3 4 5 6; do
         start_instance "$i"
