Review: Case 6, connections that go silent leave the fleet on an old configuration

Cause: after a call has timed out on a silent connection, the HTTP client takes another idle connection to the same address, which is as silent.

Done: a script with a link whose open connections go silent; nothing in the product is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Builds what the scripts in review/4 to review/6 start besides the daemon of the deploy file: the project's own
-# stand-ins, into target/standins. Needs no network. The daemon itself is built by the line `build` of
-# deploy/system.toml.
+# Builds what the scripts in review/4 to review/6 start besides the daemon of the deploy file, into target/standins:
+# the project's own stand-ins, and those in review/standins. Needs no network. The daemon itself is built by the line
+# `build` of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 cmake -S . -B target/standins -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build target/standins -j "${BRAMLEYTRACK_JOBS:-8}" --target \
-    standin_platform standin_fleet standin_flow_target standin_flow_caller standin_link
+    standin_platform standin_fleet standin_flow_target standin_flow_caller
+g++ -std=c++20 -O2 -Ilibraries -Istandins -o target/standins/silent_link \
+    review/standins/silent_link.cpp standins/soak/link.cpp -Ltarget/standins \
+    -lbramleytrack_io -lbramleytrack_core -lbramleytrack_messages -lspdlog -lfmt -lpopt -lhttp_parser -lev
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -8,6 +8,7 @@
 record=$folder/record.txt
 zones=(north middle south)
 hosts=8       # 1 to 6 serve "board", two in each zone; 7 and 8 serve "plans"
+linked=       # if set, connections to the store and between instances pass through links, see silence_links
 added_hosts=0 # started later by the script, with the numbers from 9 on; they serve "board"
 declare -A pids=()
 workspace=
@@ -86,21 +87,27 @@
 }
 
 write_settings() {
-    local ports i
-    mapfile -t ports < <("$standins/standin_fleet" --count 6 ports)
-    ((${#ports[@]} == 6)) || cannot_run "no free ports"
+    local i
+    mapfile -t ports < <("$standins/standin_fleet" --count 8 ports)
+    ((${#ports[@]} == 8)) || cannot_run "no free ports"
     packet_port=${ports[0]} readiness_port=${ports[1]} metrics_port=${ports[2]}
     peer_port=${ports[3]} pull_port=${ports[4]}
     store=127.0.3.1:${ports[5]}
-    local instance_list="" host_list=""
+    local instance_list="" host_list="" store_address=$store pull_network=127.0.1 seed_port=$pull_port link_setting=""
+    if [[ $linked ]]; then
+        store_address=127.0.3.2:${ports[6]} pull_network=127.0.6 seed_port=${ports[7]}
+    fi
     for i in 1 2 3 4 5 6; do
+        if [[ $linked ]]; then
+            link_setting="\"advertised_pull_address\": \"127.0.6.$i:$seed_port\", "
+        fi
         # The template deploy/settings.json, filled in.
         cat >"$workspace/front-$i.json" <<JSON
 { "name": "front-$i", "zone": "$(zone_of $i)", "zones": {"north": "r", "middle": "r", "south": "r"},
   "packet_address": "127.0.1.$i:$packet_port", "readiness_address": "127.0.1.$i:$readiness_port",
   "metrics_address": "127.0.1.$i:$metrics_port", "peer_address": "127.0.1.$i:$peer_port",
-  "pull_address": "127.0.1.$i:$pull_port", "seeds": ["127.0.1.1:$pull_port", "127.0.1.2:$pull_port"],
-  "store_address": "${store_of[$i]:-$store}", "fleet_passphrase": "replace this passphrase of the fleet",
+  "pull_address": "127.0.1.$i:$pull_port", "seeds": ["$pull_network.1:$seed_port", "$pull_network.2:$seed_port"],
+  $link_setting"store_address": "$store_address", "fleet_passphrase": "replace this passphrase of the fleet",
   "link_mbps": 1000.0, "stop_grace_s": 6, "flow_lifetime_s": 60,
   "admission": { "capacity_shares": true, "lower_priority_minimum": 0.1, "opening_queue_entries": 1000,
     "opening_wait_fraction": 0.2, "split_overflow": true, "zone_balance": true } }
@@ -117,7 +124,20 @@
 JSON
 }
 
-declare -A store_of=()
+start_links() {
+    local i
+    start link-store "$standins/silent_link" --near "127.0.3.2:${ports[6]}" --far "$store"
+    for i in 1 2 3 4 5 6; do
+        start "link-$i" "$standins/silent_link" --near "127.0.6.$i:${ports[7]}" --far "127.0.1.$i:$pull_port"
+    done
+}
+
+silence_links() {
+    local i
+    for i in store 1 2 3 4 5 6; do
+        kill -USR1 "${pids[link-$i]}"
+    done
+}
 
 start_instance() { # number
     start "front-$1" env BRAMLEYTRACK_BOOT="$workspace/front-$1.json" "$daemon" --steer
@@ -140,6 +160,9 @@
     trap end_all EXIT
     write_settings
     start store "$standins/standin_platform" --address "$store"
+    if [[ $linked ]]; then
+        start_links
+    fi
     sleep 0.3
     configure 1
     for ((i = 1; i <= hosts; ++i)); do
