--- a/review/standins/silent_link.cpp
+++ b/review/standins/silent_link.cpp
@@ -1,5 +1,5 @@
-// silent_link: forwards connections from one address to another. At SIGUSR1, the connections that are open then go
-// silent for good, without a reset; new ones work.
+// silent_link: forwards connections from one address to another. At SIGUSR1, the connections that
+// are open then go silent for good, without a reset; new ones work.
 #include <csignal>
 
 #include "settings/command_line.h"
