--- a/review/standins/silent_link.cpp
+++ b/review/standins/silent_link.cpp
@@ -2,8 +2,8 @@
 // are open then go silent for good, without a reset; new ones work.
 #include <csignal>
 
+#include "../../standins/soak/link.h"
 #include "settings/command_line.h"
-#include "soak/link.h"
 
 namespace {
 
