--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -178,9 +178,9 @@
     note "started: six instances, $hosts hosts, the store"
 }
 
-start_consumers() { # seconds
-    start consumers "$standins/standin_flow_caller" --fleet "$workspace/fleet.json" --seconds "$1" --flows 90
-    note "consumers started, for $1 s"
+start_consumers() { # seconds[, flows open at a time]
+    start consumers "$standins/standin_flow_caller" --fleet "$workspace/fleet.json" --seconds "$1" --flows "${2:-90}"
+    note "consumers started, for $1 s, with ${2:-90} flows"
 }
 
 opened_at_host() { # number: flows whose opening packet the host took
