--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 cmake -S . -B target/standins -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build target/standins -j "${BRAMLEYTRACK_JOBS:-8}" --target \
     standin_platform standin_fleet standin_flow_target standin_flow_caller
-for each in silent_link slow_start_link; do
+for each in silent_link slow_start_link stale_store; do
     g++ -std=c++20 -O2 -Ilibraries -Istandins -o "target/standins/$each" \
         "review/standins/$each.cpp" standins/soak/link.cpp -Ltarget/standins \
         -lbramleytrack_io -lbramleytrack_core -lbramleytrack_messages -lspdlog -lfmt -lpopt -lhttp_parser -lev
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -9,6 +9,9 @@
 zones=(north middle south)
 hosts=8       # 1 to 6 serve "board", two in each zone; 7 and 8 serve "plans"
 linked=       # if set, connections to the store and between instances pass through links, see silence_links
+stale_ms=     # if set, stale reads of the store get its state of that many milliseconds ago
+cold_per_s=10 # of both services
+host_options=()
 added_hosts=0 # started later by the script, with the numbers from 9 on; they serve "board"
 declare -A pids=()
 workspace=
@@ -81,8 +84,8 @@
     put op/config "{\"version\":$1,\"routes\":[
 {\"name\":\"a\",\"host\":\"127.0.5.1\",\"prefix\":\"/443/\",\"kind\":\"unsafe\",\"service\":\"board\",\"timeout_ms\":3000,\"target_latency_ms\":500,\"priority\":1,\"max_attempts\":2},
 {\"name\":\"b\",\"host\":\"127.0.5.1\",\"prefix\":\"/80/\",\"kind\":\"unsafe\",\"service\":\"plans\",\"timeout_ms\":3000,\"target_latency_ms\":500,\"priority\":1,\"max_attempts\":2}${2:-}],
-\"services\":[{\"name\":\"board\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":2.0,\"cold_per_s\":10},
-{\"name\":\"plans\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":2.0,\"cold_per_s\":10}],
+\"services\":[{\"name\":\"board\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":2.0,\"cold_per_s\":$cold_per_s},
+{\"name\":\"plans\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":2.0,\"cold_per_s\":$cold_per_s}],
 \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
 }
 
@@ -95,7 +98,10 @@
     store=127.0.3.1:${ports[5]}
     local instance_list="" host_list="" store_address=$store pull_network=127.0.1 seed_port=$pull_port link_setting=""
     if [[ $linked ]]; then
-        store_address=127.0.3.2:${ports[6]} pull_network=127.0.6 seed_port=${ports[7]}
+        pull_network=127.0.6 seed_port=${ports[7]}
+    fi
+    if [[ $linked || $stale_ms ]]; then
+        store_address=127.0.3.2:${ports[6]}
     fi
     for i in 1 2 3 4 5 6; do
         if [[ $linked ]]; then
@@ -163,10 +169,13 @@
     if [[ $linked ]]; then
         start_links
     fi
+    if [[ $stale_ms ]]; then
+        start link-store "$standins/stale_store" --near "127.0.3.2:${ports[6]}" --far "$store" --behind-ms "$stale_ms"
+    fi
     sleep 0.3
     configure 1
     for ((i = 1; i <= hosts; ++i)); do
-        start_host "$i"
+        start_host "$i" "${host_options[@]}"
     done
     for i in 1 2 3 4 5 6; do
         start_instance "$i"
@@ -189,6 +198,12 @@
     [[ $answer =~ \"opened\":([0-9]+) ]] && echo "${BASH_REMATCH[1]}"
 }
 
+cold_openings() { # number of a host: the most opening packets that it took within one second while it was cold
+    local answer
+    answer=$(http GET "127.0.2.$1:$packet_port" /runs) || return 1
+    [[ $answer =~ \"most_cold_openings\":([0-9]+) ]] && echo "${BASH_REMATCH[1]}"
+}
+
 metric() { # instance, name
     http GET "127.0.1.$1:$metrics_port" /metrics | sed -n -E "s/^$2 ([0-9.]+).*/\\1/p" | head -1
 }
