Steering: Log packets whose token names another target than their flow's

No line or metric of an instance named such a flow, so a late answer of a second target, a token that belongs to two targets and a wrong placement all looked alike.

Of several targets that accept one opening, the one whose sequence number the caller acknowledges holds the flow; the token tells only who spoke last. An instance that has seen the opening and the packet after it therefore knows the holder, and can name a packet of the same flow with another token. It now writes token_mismatch with both targets, counts it in bramleytrack_token_mismatches_total, and bramleyctl explain shows it. What is forwarded doesn't change.

The record of a flow that the first of two targets accepted kept 0 as its acknowledgement; it now gets that of the packet.

--- a/libraries/observability/steering_metrics.cpp
+++ b/libraries/observability/steering_metrics.cpp
@@ -257,6 +257,12 @@
             .Name("bramleytrack_overflowed_openings_total")
             .Help("openings placed in another service of their split than the weights chose")
             .Register(registry);
+    prometheus::Counter& token_mismatches =
+        prometheus::BuildCounter()
+            .Name("bramleytrack_token_mismatches_total")
+            .Help("packets whose token named another target than the one that holds their flow")
+            .Register(registry)
+            .Add({});
     route_gauge_table routes{registry};
     // Caches the series per service: looking one up by its labels costs more than handling a
     // packet.
@@ -299,6 +305,10 @@
         .Increment();
 }
 
+void steering_metrics::on_token_mismatch() {
+    implementation_->token_mismatches.Increment();
+}
+
 void steering_metrics::on_wait_ended(std::string_view service, std::string_view route,
                                      steering::wait_outcome outcome, clock::duration waited) {
     auto& self = *implementation_;
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -75,6 +75,7 @@
     void on_answer(const discovery::target& answered_by, clock::duration elapsed) override;
     void on_decision(std::string_view service, const steering::decision& decision) override;
 
+    void on_token_mismatch() override;
     // An opening that waited has left the queue.
     void on_wait_ended(std::string_view service, std::string_view route,
                        steering::wait_outcome outcome, clock::duration waited) override;
--- a/libraries/steering/decision_log.cpp
+++ b/libraries/steering/decision_log.cpp
@@ -127,6 +127,22 @@
     log_.write(event);
 }
 
+void decision_log::token_mismatch(const segment& packet, routing_token holder,
+                                  clock::time_point now) {
+    if (!log_.admits(log_kind::delivery, now)) {
+        return;
+    }
+    const auto* held_by = directory_.find_target(holder);
+    const auto* named = directory_.find_target(packet.token);
+    auto event = flow_event("token_mismatch", packet.flow);
+    event.with("sequence", packet.sequence)
+        .with("acknowledged", packet.acknowledged)
+        .with("target", held_by == nullptr ? std::string{"unknown"} : held_by->entry.id)
+        .with("token", packet.token)
+        .with("token_target", named == nullptr ? std::string{"unknown"} : named->entry.id);
+    log_.write(event);
+}
+
 void decision_log::target_dead(const discovery::target& target, const target_health& health,
                                std::size_t flows, clock::time_point now) {
     if (!log_.admits(log_kind::state_change, now)) {
--- a/libraries/steering/decision_log.h
+++ b/libraries/steering/decision_log.h
@@ -49,6 +49,8 @@
                             result_code reason, clock::time_point now);
     // A packet of an established flow that was not forwarded.
     void undelivered_packet(const segment& packet, const decision& outcome, clock::time_point now);
+    // The packet's token names another target than `holder`, which holds the packet's flow.
+    void token_mismatch(const segment& packet, routing_token holder, clock::time_point now);
     // All flows of a target were ended because it has died or is unreachable.
     void target_dead(const discovery::target& target, const target_health& health,
                      std::size_t flows, clock::time_point now);
--- a/libraries/steering/flow_tracker.cpp
+++ b/libraries/steering/flow_tracker.cpp
@@ -16,6 +16,10 @@
     return static_cast<std::int32_t>(left - right) > 0;
 }
 
+bool is_near(std::uint32_t left, std::uint32_t right, std::uint32_t max_distance) {
+    return std::min(left - right, right - left) <= max_distance;
+}
+
 }  // namespace
 
 const flow_state* flow_tracker::find(const flow_key& key) const {
@@ -23,6 +27,15 @@
     return found == flows_.end() ? nullptr : &found->second;
 }
 
+std::optional<routing_token> flow_tracker::find_holder(const segment& packet) const {
+    const auto* flow = find(packet.flow);
+    const bool is_same_flow =
+        flow != nullptr && flow->is_handshake_seen &&
+        is_near(packet.acknowledged, flow->acknowledged, limits_.max_sequence_distance) &&
+        is_near(packet.sequence, flow->next_sequence, limits_.max_sequence_distance);
+    return is_same_flow ? std::optional{flow->token} : std::nullopt;
+}
+
 std::optional<routing_token> flow_tracker::find_token_of_recent_opening(
     const segment& retransmission, clock::time_point now) const {
     const auto* flow = find(retransmission.flow);
@@ -110,6 +123,7 @@
     flow.last_packet_at = now;
     if (!flow.is_established) {
         flow.is_established = true;
+        flow.is_handshake_seen = true;
         flow.acknowledged = packet.acknowledged;
         flow.next_sequence = packet.sequence;
         result.is_opening_accepted = true;
@@ -146,12 +160,17 @@
         // The flow was opened through another instance.
         found = flows_.emplace(packet.flow, flow_state{}).first;
         found->second.opened_at = now;
-        found->second.acknowledged = packet.acknowledged;
-        found->second.next_sequence = packet.sequence;
     } else {
         release(packet.flow, found->second);
+        // Either a target that the opening or an earlier copy was sent to has accepted it, or this
+        // is another flow of the same caller's port, opened through another instance.
+        found->second.is_handshake_seen = !found->second.is_established;
     }
     auto& flow = found->second;
+    if (!flow.is_established) {
+        flow.acknowledged = packet.acknowledged;
+        flow.next_sequence = packet.sequence;
+    }
     flow.token = packet.token;
     flow.usage = usage;
     flow.is_established = true;
--- a/libraries/steering/flow_tracker.h
+++ b/libraries/steering/flow_tracker.h
@@ -55,6 +55,9 @@
     clock::time_point request_at;
     clock::time_point last_packet_at;
     bool is_established = false;
+    // This instance has seen the opening and the first packet after it. That packet is sent in
+    // response to the target's acceptance, so its token and its acknowledgement are of one target.
+    bool is_handshake_seen = false;
     bool has_open_request = false;      // counted in target_health::open_requests
     bool is_request_sent = false;       // a request was forwarded and has not ended
     bool is_counted_as_silent = false;  // in target_health::silent_flows, since the newest data
@@ -115,6 +118,11 @@
     // How long an opening that is not accepted is kept: callers give up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
+    // Bytes by which the sequence numbers of a packet may differ from those of its flow's record.
+    // The initial ones of each flow are arbitrary, so a new flow of the same caller's port passes
+    // for the recorded one with a probability of one in four million. A flow whose packets went
+    // through other instances for longer than this is treated as unknown.
+    std::uint32_t max_sequence_distance = 1U << 20U;
     // A request is no longer counted after its caller has been silent for this long. A caller
     // retransmits unacknowledged data within 1.6 s, so after a longer silence its packets may pass
     // through another instance. The other case is a request that the target has acknowledged and
@@ -133,6 +141,14 @@
     // Returns the flow's record, or null if this instance has not seen it.
     const flow_state* find(const flow_key& key) const;
 
+    // Returns the token of the target that holds the packet's flow, or nothing if this instance
+    // doesn't know it.
+    //
+    // Of several targets that accept the same opening, the one whose sequence number the caller
+    // acknowledges holds the flow. Callers return the token that they received last, which is that
+    // of another target if its acceptance arrives after the flow has opened.
+    std::optional<routing_token> find_holder(const segment& packet) const;
+
     // Counts an opening packet of the caller, whether it is accepted or not.
     void record_attempt(const flow_key& key, clock::time_point now) {
         callers_.on_attempt(key.caller.address, now);
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -317,6 +317,7 @@
         return record_outcome(refuse{{.flow = packet.flow, .sequence = packet.acknowledged},
                                      result_code::unknown_route});
     }
+    report_token_mismatch(packet, now);
     const auto* target = directory_.find_target(packet.token);
     if (target == nullptr) {
         // Any other target would reset the flow.
@@ -365,6 +366,14 @@
     return forward{target};
 }
 
+void steering::report_token_mismatch(const segment& packet, clock::time_point now) {
+    const auto holder = flows_.find_holder(packet);
+    if (holder.has_value() && *holder != packet.token) {
+        observer_.on_token_mismatch();
+        log_.token_mismatch(packet, *holder, now);
+    }
+}
+
 // Learns the work of the route's requests, and the speed of the target from what the answer should
 // have taken: the work, and the wait for the requests that are open on the target.
 void steering::learn_from_answer(const discovery::target& target, std::size_t usage,
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -55,6 +55,8 @@
     virtual void on_opening_answered(const discovery::target& target, clock::duration latency) = 0;
     virtual void on_answer(const discovery::target& target, clock::duration latency) = 0;
     virtual void on_decision(std::string_view service, const decision& outcome) = 0;
+    // A packet's token names another target than the one that holds the packet's flow.
+    virtual void on_token_mismatch() {}
     // An opening left the queue.
     virtual void on_wait_ended(std::string_view /*service*/, std::string_view /*route*/,
                                wait_outcome /*outcome*/, clock::duration /*waited*/) {}
@@ -162,6 +164,7 @@
                                          bool has_held_back_cold_target, bool is_state_fresh);
     decision on_established_packet(const segment& packet, const directory_state& state,
                                    clock::time_point now);
+    void report_token_mismatch(const segment& packet, clock::time_point now);
     void end_flows_of(const discovery::target& target, clock::time_point now);
     bool is_ended_by_route_removal(const segment& packet, const directory_state& state,
                                    clock::time_point now) const;
--- a/services/bramleyctl/flow_timeline.cpp
+++ b/services/bramleyctl/flow_timeline.cpp
@@ -72,6 +72,11 @@
            field(record, "reason") + " (version " + field(record, "version") + ")";
 }
 
+std::string format_token_mismatch(const log_record& record) {
+    return "packet with sequence " + field(record, "sequence") + " returned the token of " +
+           field(record, "token_target") + "; the flow is open at " + field(record, "target");
+}
+
 std::string format_unanswered(const log_record& record) {
     return field(record, "target") + " left the opening unanswered for " +
            field(record, "after_ms") + " ms; it last answered any flow " +
@@ -94,6 +99,7 @@
                                  event_formatter{"opening_wait_ended", &format_wait_ended},
                                  event_formatter{"packet", &format_packet},
                                  event_formatter{"flow_ended", &format_flow_ended},
+                                 event_formatter{"token_mismatch", &format_token_mismatch},
                                  event_formatter{"unanswered", &format_unanswered},
                                  event_formatter{"late_answer", &format_late_answer}};
 
@@ -138,7 +144,7 @@
 // True for lines that report no failure.
 bool is_harmless(const log_record& record) {
     const auto decision = record.text("decision");
-    return record.event == "opening_wait_ended" ||
+    return record.event == "opening_wait_ended" || record.event == "token_mismatch" ||
            (record.event == "opening" && (decision == "forward" || decision == "hold")) ||
            (record.event == "packet" && decision == "forward");
 }
--- a/tests/flow_timeline_test.cpp
+++ b/tests/flow_timeline_test.cpp
@@ -157,6 +157,18 @@
     EXPECT_NE(timeline.cause.find("waited 35 ms"), std::string::npos);
 }
 
+// Guards against a flow that a second target has accepted and whose history names only one of them.
+TEST(flow_timeline, names_both_targets_of_a_flow_that_returned_the_wrong_token) {
+    const auto timeline = timeline_of(
+        {forward_line,
+         "event=token_mismatch caller=1.2.3.4:5 route_address=198.18.0.1:8080 sequence=12 "
+         "acknowledged=9 target=t-2 token=77 token_target=t-1"});
+    ASSERT_EQ(timeline.steps.size(), 2U);
+    EXPECT_EQ(timeline.steps[1].text,
+              "packet with sequence 12 returned the token of t-1; the flow is open at t-2");
+    EXPECT_EQ(timeline.outcome, "no_fault");
+}
+
 // Guards against a wait without an end that looks like a fault of a target, or like no fault.
 TEST(flow_timeline, explains_a_wait_without_an_end) {
     const auto timeline = timeline_of({hold_line});
