Steering: Send the packets of an open flow to the target that holds it

What callers saw: a target that had just been added, or any that answers openings late, reset open flows of other, live targets (FLOW); requests that may run once at most were lost with them.

Cause: an opening that isn't accepted within 200 ms is repeated, and the copy goes to another target, which accepts it: the flow opens there, as the caller acknowledges that target's number. Then the acceptance of the first target arrives, and callers return the token that they received last. The next packet goes by its token to a target that doesn't hold the flow and resets it. The instance has just seen the flow open at the other one, but followed the token and moved its record of the flow.

Fix: of a flow whose opening and first packet after it were seen here, the token and the acknowledgement of that packet belong together. A later packet whose sequence and acknowledgement numbers are of the same flow goes to that target, whatever token it returns, and carries the holder's token, so that the holder returns it to the caller. Load, health, resets and logs follow the holder too. A placement alone proves nothing: the first of the two targets may hold the flow. A flow that was opened through another instance goes by its token as before.

--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -300,8 +300,9 @@
     return drop{result_code::no_eligible_target};
 }
 
-decision steering::on_established_packet(const segment& packet, const directory_state& state,
+decision steering::on_established_packet(const segment& received, const directory_state& state,
                                          clock::time_point now) {
+    const auto packet = with_token_of_holder(received, now);
     const auto record_outcome = [&](const decision& outcome) {
         observer_.on_decision("established", outcome);
         log_.undelivered_packet(packet, outcome, now);
@@ -317,7 +318,6 @@
         return record_outcome(refuse{{.flow = packet.flow, .sequence = packet.acknowledged},
                                      result_code::unknown_route});
     }
-    report_token_mismatch(packet, now);
     const auto* target = directory_.find_target(packet.token);
     if (target == nullptr) {
         // Any other target would reset the flow.
@@ -366,12 +366,20 @@
     return forward{target};
 }
 
-void steering::report_token_mismatch(const segment& packet, clock::time_point now) {
+// Guards against packets of an open flow that go to another target that has accepted the same
+// opening: it doesn't hold the flow and resets it. Its acceptance reaches the caller after the
+// flow has opened, and the caller then returns its token until the holder responds again. The
+// acknowledgement of a packet is of the holder's sequence numbers whichever token it returns.
+segment steering::with_token_of_holder(const segment& packet, clock::time_point now) {
     const auto holder = flows_.find_holder(packet);
-    if (holder.has_value() && *holder != packet.token) {
-        observer_.on_token_mismatch();
-        log_.token_mismatch(packet, *holder, now);
+    if (!holder.has_value() || *holder == packet.token) {
+        return packet;
     }
+    observer_.on_token_mismatch();
+    log_.token_mismatch(packet, *holder, now);
+    auto result = packet;
+    result.token = *holder;
+    return result;
 }
 
 // Learns the work of the route's requests, and the speed of the target from what the answer should
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -162,9 +162,10 @@
                                                            clock::time_point now) const;
     static decision on_placement_failure(const segment& packet, placement_failure reason,
                                          bool has_held_back_cold_target, bool is_state_fresh);
-    decision on_established_packet(const segment& packet, const directory_state& state,
+    decision on_established_packet(const segment& received, const directory_state& state,
                                    clock::time_point now);
-    void report_token_mismatch(const segment& packet, clock::time_point now);
+    // Returns the packet with the token of the target that holds its flow, if that is known.
+    segment with_token_of_holder(const segment& packet, clock::time_point now);
     void end_flows_of(const discovery::target& target, clock::time_point now);
     bool is_ended_by_route_removal(const segment& packet, const directory_state& state,
                                    clock::time_point now) const;
