Steering, Fleet: Report where flows that opened twice are open to the peers of the zone

Cause: a caller keeps the wrong token until the holder responds again, which is at its next request. Only the instance that has seen the flow open knows the holder; another one goes by the token.

Fix: when a flow opens whose opening was sent to two targets, the instance tells the instances of its zone which one holds it, within 100 ms. They send the flow's next packet there and know the holder from then on. A flow whose first target is known to be dead isn't reported: it accepts nothing. Reports may use a hundredth of the link; what doesn't fit is counted. A report that is lost, or a start after it, leaves the flow to its token, as before.

Weighed: the same target for the copy if it shows life (would spare most reports; needs the result of a probe on the opening's path, not tried); a report to all with the digests (more bytes for a zone of 197 peers, and a second later).

--- a/libraries/observability/steering_metrics.cpp
+++ b/libraries/observability/steering_metrics.cpp
@@ -86,6 +86,13 @@
     gauge_description<steering_gauges>{"bramleytrack_copy_bytes_sent",
                                        "bytes of the copies sent to peers",
                                        &read_field<&steering_gauges::copy_bytes_sent>},
+    gauge_description<steering_gauges>{"bramleytrack_flow_holders_sent",
+                                       "flows that two targets may have accepted, of which the "
+                                       "peers of the zone were told the holder",
+                                       &read_field<&steering_gauges::flow_holders_sent>},
+    gauge_description<steering_gauges>{"bramleytrack_flow_holders_dropped",
+                                       "the same flows for which the link had no room",
+                                       &read_field<&steering_gauges::flow_holders_dropped>},
     gauge_description<steering_gauges>{"bramleytrack_store_reachable", "1 while the store answers",
                                        &read_field<&steering_gauges::is_store_reachable>},
     gauge_description<steering_gauges>{"bramleytrack_ready", "1 while new flows are wanted here",
--- a/libraries/observability/steering_metrics.h
+++ b/libraries/observability/steering_metrics.h
@@ -61,6 +61,8 @@
     std::int64_t copies_sent = 0;  // of the complete state, to peers
     std::int64_t copies_refused = 0;
     std::int64_t copy_bytes_sent = 0;
+    std::int64_t flow_holders_sent = 0;  // flows whose holders were reported to peers
+    std::int64_t flow_holders_dropped = 0;
     bool is_store_reachable = false;
     bool is_ready = false;
 };
--- a/libraries/steering/flow_tracker.cpp
+++ b/libraries/steering/flow_tracker.cpp
@@ -16,8 +16,11 @@
     return static_cast<std::int32_t>(left - right) > 0;
 }
 
-bool is_near(std::uint32_t left, std::uint32_t right, std::uint32_t max_distance) {
-    return std::min(left - right, right - left) <= max_distance;
+held_flow to_held_flow(const flow_key& key, const flow_state& flow) {
+    return {.flow = key,
+            .holder = flow.token,
+            .acknowledged = flow.acknowledged,
+            .next_sequence = flow.next_sequence};
 }
 
 }  // namespace
@@ -29,11 +32,9 @@
 
 std::optional<routing_token> flow_tracker::find_holder(const segment& packet) const {
     const auto* flow = find(packet.flow);
-    const bool is_same_flow =
-        flow != nullptr && flow->is_handshake_seen &&
-        is_near(packet.acknowledged, flow->acknowledged, limits_.max_sequence_distance) &&
-        is_near(packet.sequence, flow->next_sequence, limits_.max_sequence_distance);
-    return is_same_flow ? std::optional{flow->token} : std::nullopt;
+    const bool is_known = flow != nullptr && flow->is_holder_known &&
+                          to_held_flow(packet.flow, *flow).includes(packet);
+    return is_known ? std::optional{flow->token} : reported_holders_.find(packet);
 }
 
 std::optional<routing_token> flow_tracker::find_token_of_recent_opening(
@@ -72,6 +73,7 @@
         return;
     }
     auto& flow = found == flows_.end() ? flows_[opening.flow] : found->second;
+    const auto other_target = find_other_target(opening, flow, token, now);
     if (flow.token != 0) {
         release(opening.flow, flow);
     }
@@ -84,6 +86,8 @@
             .request_at = {},
             .last_packet_at = now,
             .is_established = false,
+            .is_holder_known = false,
+            .other_target = other_target,
             .has_open_request = false,
             .is_request_sent = false};
     auto& health = health_[token];
@@ -94,6 +98,19 @@
     openings_to_check_for_response_.emplace_back(opening.flow, now);
 }
 
+std::optional<routing_token> flow_tracker::find_other_target(const segment& opening,
+                                                             const flow_state& recorded,
+                                                             routing_token token,
+                                                             clock::time_point now) const {
+    const bool is_same_opening = recorded.token != 0 && !recorded.is_established &&
+                                 recorded.opening_sequence == opening.sequence;
+    if (!is_same_opening) {
+        return opening.copy > 0 ? std::optional{routing_token{0}} : std::nullopt;
+    }
+    const bool may_accept = recorded.token != token && !is_known_dead(recorded.token, now);
+    return may_accept ? std::optional{recorded.token} : recorded.other_target;
+}
+
 std::vector<routing_token> flow_tracker::take_abandoned_openings(clock::time_point now) {
     std::vector<routing_token> result;
     while (!openings_to_check_for_response_.empty() &&
@@ -121,9 +138,12 @@
     }
     auto& flow = *record;
     flow.last_packet_at = now;
+    if (!flow.is_holder_known && flow.is_established) {
+        flow.is_holder_known = reported_holders_.take(packet);
+    }
     if (!flow.is_established) {
         flow.is_established = true;
-        flow.is_handshake_seen = true;
+        flow.is_holder_known = true;
         flow.acknowledged = packet.acknowledged;
         flow.next_sequence = packet.sequence;
         result.is_opening_accepted = true;
@@ -141,7 +161,9 @@
     if (is_end) {
         release(packet.flow, flow);
         flows_.erase(packet.flow);
+        return result;
     }
+    report_if_opened_twice(packet.flow, flow, now);
     return result;
 }
 
@@ -164,7 +186,9 @@
         release(packet.flow, found->second);
         // Either a target that the opening or an earlier copy was sent to has accepted it, or this
         // is another flow of the same caller's port, opened through another instance.
-        found->second.is_handshake_seen = !found->second.is_established;
+        found->second.is_holder_known = !found->second.is_established;
+        found->second.other_target =
+            found->second.is_established ? std::nullopt : std::optional{found->second.token};
     }
     auto& flow = found->second;
     if (!flow.is_established) {
@@ -306,6 +330,7 @@
         each = flows_.erase(each);
     }
     callers_.expire(now);
+    reported_holders_.expire(now);
     std::erase_if(health_, [this, now](const auto& each) {
         const auto& health = each.second;
         const bool is_considered_dead =
@@ -350,6 +375,21 @@
     end_request(key, flow);
 }
 
+bool flow_tracker::is_known_dead(routing_token token, clock::time_point now) const {
+    const auto& each = health(token);
+    return now < std::max(each.reported_dead_until, each.dead_until);
+}
+
+// A dead target accepts nothing, so most openings that were repeated need no report.
+void flow_tracker::report_if_opened_twice(const flow_key& key, flow_state& flow,
+                                          clock::time_point now) {
+    const auto other = std::exchange(flow.other_target, std::nullopt);
+    if (other.has_value() && flow.is_holder_known && !is_known_dead(*other, now) &&
+        opened_twice_.size() < limits_.max_unreported_flows) {
+        opened_twice_.push_back(to_held_flow(key, flow));
+    }
+}
+
 void flow_tracker::record_reached(routing_token token) {
     const auto found = health_.find(token);
     if (found != health_.end()) {
--- a/libraries/steering/flow_tracker.h
+++ b/libraries/steering/flow_tracker.h
@@ -18,7 +18,9 @@
 
 #include "base/clock.h"
 #include "steering/caller_shares.h"
+#include "steering/held_flow.h"
 #include "steering/path_health.h"
+#include "steering/reported_holders.h"
 #include "steering/segment.h"
 
 namespace bramleytrack::steering {
@@ -55,9 +57,13 @@
     clock::time_point request_at;
     clock::time_point last_packet_at;
     bool is_established = false;
-    // This instance has seen the opening and the first packet after it. That packet is sent in
-    // response to the target's acceptance, so its token and its acknowledgement are of one target.
-    bool is_handshake_seen = false;
+    // `token` is that of the target that holds the flow. Either this instance has seen the opening
+    // and the first packet after it, which is sent in response to the target's acceptance, so that
+    // its token and its acknowledgement are of one target; or a peer has, and has reported it.
+    bool is_holder_known = false;
+    // Another target that the same opening was sent to, and that may accept it too; 0 if another
+    // instance has chosen it.
+    std::optional<routing_token> other_target;
     bool has_open_request = false;      // counted in target_health::open_requests
     bool is_request_sent = false;       // a request was forwarded and has not ended
     bool is_counted_as_silent = false;  // in target_health::silent_flows, since the newest data
@@ -118,11 +124,6 @@
     // How long an opening that is not accepted is kept: callers give up after 1.4 s.
     clock::duration opening_lifetime{1'500};
     clock::duration idle_lifetime{15'000};
-    // Bytes by which the sequence numbers of a packet may differ from those of its flow's record.
-    // The initial ones of each flow are arbitrary, so a new flow of the same caller's port passes
-    // for the recorded one with a probability of one in four million. A flow whose packets went
-    // through other instances for longer than this is treated as unknown.
-    std::uint32_t max_sequence_distance = 1U << 20U;
     // A request is no longer counted after its caller has been silent for this long. A caller
     // retransmits unacknowledged data within 1.6 s, so after a longer silence its packets may pass
     // through another instance. The other case is a request that the target has acknowledged and
@@ -132,6 +133,8 @@
     // 11 million flows on 610 instances are 18,000 on each. The limit bounds memory during a flood
     // of openings.
     std::size_t max_flows = 60'000;
+    // Flows that wait to be reported to the peers.
+    std::size_t max_unreported_flows = 1'000;
 };
 
 class flow_tracker {
@@ -149,6 +152,14 @@
     // of another target if its acceptance arrives after the flow has opened.
     std::optional<routing_token> find_holder(const segment& packet) const;
 
+    // Returns the flows that have opened since the last call and that another target may have
+    // accepted too, for the peers.
+    std::vector<held_flow> take_flows_opened_twice() { return std::exchange(opened_twice_, {}); }
+    // A peer has seen where the flow opened.
+    void record_reported_holder(const held_flow& report, clock::time_point now) {
+        reported_holders_.add(report, now);
+    }
+
     // Counts an opening packet of the caller, whether it is accepted or not.
     void record_attempt(const flow_key& key, clock::time_point now) {
         callers_.on_attempt(key.caller.address, now);
@@ -213,6 +224,13 @@
     void release(const flow_key& key, flow_state& flow);
     void end_openings_without_request(clock::time_point now);
     void record_response(target_health& health, clock::time_point now);
+    // Whether this instance or peers found the target dead lately.
+    bool is_known_dead(routing_token token, clock::time_point now) const;
+    // The target that the opening was sent to before, when it is sent to that of `token`.
+    std::optional<routing_token> find_other_target(const segment& opening,
+                                                   const flow_state& recorded, routing_token token,
+                                                   clock::time_point now) const;
+    void report_if_opened_twice(const flow_key& key, flow_state& flow, clock::time_point now);
 
     flow_tracker_limits limits_;
     std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
@@ -225,6 +243,8 @@
     std::vector<int> open_by_usage_;  // open requests, by flow_state::usage
     caller_shares callers_;
     path_health path_;
+    std::vector<held_flow> opened_twice_;  // not yet reported
+    reported_holders reported_holders_;
     clock::time_point next_expiry_;
 };
 
--- a/libraries/steering/steering.h
+++ b/libraries/steering/steering.h
@@ -108,6 +108,13 @@
         }
     }
     void on_target_reached(const discovery::target& target) { flows_.record_reached(target.token); }
+    // Returns the flows that have opened since the last call and that another target may have
+    // accepted too, for the daemon to report to the peers of its zone.
+    std::vector<held_flow> take_flows_opened_twice() { return flows_.take_flows_opened_twice(); }
+    // A peer has reported where a flow is open.
+    void on_holder_reported(const held_flow& report, clock::time_point now) {
+        flows_.record_reported_holder(report, now);
+    }
     void expire(clock::time_point now);
 
     const flow_tracker& flows() const { return flows_; }
--- a/libraries/wire/bramleytrack.thrift
+++ b/libraries/wire/bramleytrack.thrift
@@ -191,6 +191,20 @@
 struct reach_question { 1: i32 token }
 struct reach_answer { 1: i32 token, 2: bool is_reachable }
 
+// A flow that more than one target may have accepted, and the target that holds it.
+struct held_flow {
+  1: i32 caller_address,
+  2: i32 caller_port,
+  3: i32 route_address,
+  4: i32 route_port,
+  5: i32 holder,           // token
+  6: i32 acknowledged,
+  7: i32 next_sequence
+}
+
+// Flows whose opening and first packet after it the sender has seen.
+struct held_flows { 1: list<held_flow> flows }
+
 // The demand for a service that callers send through the sender.
 struct demand_report {
   1: i32 service_hash,
@@ -253,5 +267,6 @@
   30: optional configuration_part configuration,
   31: optional digest fleet_digest,
   32: optional reach_question reach_asked,
-  33: optional reach_answer reach_answered
+  33: optional reach_answer reach_answered,
+  34: optional held_flows flow_holders
 }
--- a/services/bramleyd/peer_exchange.cpp
+++ b/services/bramleyd/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include "fleet/digest_size.h"
@@ -31,6 +32,11 @@
 constexpr std::int64_t max_pulled_value_bytes_per_millisecond = 300;
 // Limits the pause after a large pull: a change must be in force within 3 s.
 constexpr clock::duration max_pull_pause{1'000};
+// The flows in one report, so that it fits into a packet of the network.
+constexpr std::size_t max_reported_flows = 32;
+// Reports go to all peers of the zone, so many of them could fill a small link.
+constexpr fleet::transfer_budget_limits flow_holder_limits{.link_fraction = 0.01,
+                                                           .max_backlog = clock::duration{1'000}};
 constexpr std::string_view changes_path = "/changes";
 constexpr std::string_view removed_items_path = "/ended";
 constexpr int http_ok = 200;
@@ -67,6 +73,28 @@
     return result;
 }
 
+wire::held_flow to_wire_flow(const steering::held_flow& flow) {
+    wire::held_flow result;
+    result.caller_address = static_cast<std::int32_t>(flow.flow.caller.address);
+    result.caller_port = flow.flow.caller.port;
+    result.route_address = static_cast<std::int32_t>(flow.flow.route.address);
+    result.route_port = flow.flow.route.port;
+    result.holder = static_cast<std::int32_t>(flow.holder);
+    result.acknowledged = static_cast<std::int32_t>(flow.acknowledged);
+    result.next_sequence = static_cast<std::int32_t>(flow.next_sequence);
+    return result;
+}
+
+steering::held_flow from_wire_flow(const wire::held_flow& flow) {
+    return {.flow = {.caller = {.address = static_cast<std::uint32_t>(flow.caller_address),
+                                .port = static_cast<std::uint16_t>(flow.caller_port)},
+                     .route = {.address = static_cast<std::uint32_t>(flow.route_address),
+                               .port = static_cast<std::uint16_t>(flow.route_port)}},
+            .holder = static_cast<discovery::routing_token>(flow.holder),
+            .acknowledged = static_cast<std::uint32_t>(flow.acknowledged),
+            .next_sequence = static_cast<std::uint32_t>(flow.next_sequence)};
+}
+
 // Returns -1 if `since` is the epoch, which stands for never.
 std::int64_t milliseconds_since(clock::time_point since, clock::time_point now) {
     return since == clock::time_point{} ? -1 : (now - since).count();
@@ -92,6 +120,7 @@
                    }},
       http_client_{loop},
       whole_budget_{settings.link_mbps},
+      flow_holder_budget_{settings.link_mbps, flow_holder_limits},
       incarnation_{to_milliseconds(clock::now())} {}
 
 void peer_exchange::tick(const digest_state& state, const steering::steering& steering,
@@ -162,6 +191,39 @@
     digest_socket_.send(peer.address, encoder_.encode(message, key_));
 }
 
+void peer_exchange::send_flow_holders(std::span<const steering::held_flow> flows,
+                                      std::span<const discovery::peer_entry* const> peers,
+                                      clock::time_point now) {
+    while (!flows.empty() && !peers.empty()) {
+        const auto part = flows.first(std::min(flows.size(), max_reported_flows));
+        flows = flows.subspan(part.size());
+        wire::held_flows reports;
+        std::ranges::transform(part, std::back_inserter(reports.flows), &to_wire_flow);
+        auto message = new_message();
+        message.__set_flow_holders(reports);
+        const auto datagram = encoder_.encode(message, key_);
+        const auto count = static_cast<std::int64_t>(part.size());
+        if (!flow_holder_budget_.admits(static_cast<std::int64_t>(datagram.size() * peers.size()),
+                                        now)) {
+            flow_holders_.dropped += count;
+            continue;
+        }
+        flow_holders_.sent += count;
+        for (const auto* peer : peers) {
+            digest_socket_.send(peer->address, datagram);
+        }
+    }
+}
+
+void peer_exchange::on_reported_holders(std::span<const wire::held_flow> reports,
+                                        clock::time_point now) {
+    std::vector<steering::held_flow> flows;
+    std::ranges::transform(reports, std::back_inserter(flows), &from_wire_flow);
+    if (flow_holders_callback_) {
+        flow_holders_callback_(flows, now);
+    }
+}
+
 void peer_exchange::on_datagram(std::span<const std::uint8_t> datagram) {
     auto decoded = wire::decode_peer_message(datagram, key_);
     auto* message = std::get_if<wire::peer_message>(&decoded);
@@ -180,6 +242,8 @@
         probe_result_callback_(message->sender,
                                static_cast<discovery::routing_token>(message->reach_answered.token),
                                message->reach_answered.is_reachable, now);
+    } else if (message->__isset.flow_holders) {
+        on_reported_holders(message->flow_holders.flows, now);
     } else {
         ++rejected_messages_;
     }
--- a/services/bramleyd/peer_exchange.h
+++ b/services/bramleyd/peer_exchange.h
@@ -22,6 +22,7 @@
 #include "net/http_server.h"
 #include "net/udp_endpoint.h"
 #include "settings/steering_settings.h"
+#include "steering/held_flow.h"
 #include "steering/route_usage.h"
 #include "steering/target_speeds.h"
 #include "store/mirror.h"
@@ -104,6 +105,16 @@
     void on_slow_targets(slow_targets_callback callback) {
         slow_targets_callback_ = std::move(callback);
     }
+    using flow_holders_callback =
+        std::function<void(std::span<const steering::held_flow> flows, clock::time_point now)>;
+    // Called when a peer reports which targets hold flows.
+    void on_flow_holders(flow_holders_callback callback) {
+        flow_holders_callback_ = std::move(callback);
+    }
+    // Reports the flows to the peers, as far as the link has room for it.
+    void send_flow_holders(std::span<const steering::held_flow> flows,
+                           std::span<const discovery::peer_entry* const> peers,
+                           clock::time_point now);
     // Sets the detector whose verdicts on dead targets are included in digests.
     void set_failure_detector(fleet::target_failure_detector& detector) {
         failure_detector_ = &detector;
@@ -139,9 +150,16 @@
         std::int64_t bytes = 0;
     };
     const copy_counts& copies() const { return copies_; }
+    // Flows that peers were told the holders of, and those for which the link had no room.
+    struct flow_holder_counts {
+        std::int64_t sent = 0;
+        std::int64_t dropped = 0;
+    };
+    const flow_holder_counts& flow_holders() const { return flow_holders_; }
 
 private:
     void on_datagram(std::span<const std::uint8_t> datagram);
+    void on_reported_holders(std::span<const wire::held_flow> reports, clock::time_point now);
     void on_peer_digest(const std::string& peer, wire::digest content, clock::time_point now);
     wire::peer_message new_message() const;
     void handle_pull_request(const net::http_request& request, const net::http_responder& respond);
@@ -168,6 +186,7 @@
     probe_result_callback probe_result_callback_;
     dead_targets_callback dead_targets_callback_;
     slow_targets_callback slow_targets_callback_;  // may be empty
+    flow_holders_callback flow_holders_callback_;  // may be empty
     fleet::target_failure_detector* failure_detector_ = nullptr;
     net::udp_endpoint digest_socket_;
     net::http_server pull_server_;
@@ -187,6 +206,8 @@
     clock::time_point whole_encoded_at_;
     fleet::transfer_budget whole_budget_;
     copy_counts copies_;
+    fleet::transfer_budget flow_holder_budget_;
+    flow_holder_counts flow_holders_;
     bool is_pulling_ = false;
     std::int64_t incarnation_ = 0;
     std::int64_t rejected_messages_ = 0;
--- a/services/bramleyd/steering_daemon.cpp
+++ b/services/bramleyd/steering_daemon.cpp
@@ -136,6 +136,12 @@
             steering_.on_speed_report(peer, each, now);
         }
     });
+    peer_exchange_.on_flow_holders(
+        [this](std::span<const steering::held_flow> flows, clock::time_point now) {
+            for (const auto& each : flows) {
+                steering_.on_holder_reported(each, now);
+            }
+        });
     terminate_signal_.set<steering_daemon, &steering_daemon::on_terminate>(this);
     terminate_signal_.start(SIGTERM);
     reload_signal_.set<steering_daemon, &steering_daemon::on_reload>(this);
@@ -203,6 +209,7 @@
     if (has_initial_state_ && !stop_.is_begun()) {
         recover_removed_items();
     }
+    report_flows_opened_twice(now);
     steering_.expire(now);
     target_checks_.expire(now);
     directory_.expire(now);
@@ -315,6 +322,23 @@
                         steering_, now, measurements_for_digest());
 }
 
+// The routers may send the next packet of such a flow through any instance of the zone, so all of
+// them receive the reports. Few flows open twice: only those whose caller has sent a copy of the
+// opening, and whose first target wasn't found dead.
+void steering_daemon::report_flows_opened_twice(clock::time_point now) {
+    const auto flows = steering_.take_flows_opened_twice();
+    if (flows.empty()) {
+        return;
+    }
+    std::vector<const discovery::peer_entry*> peers;
+    for (const auto& [name, peer] : directory_.peers()) {
+        if (name != settings_.name && peer.entry.zone == settings_.zone) {
+            peers.push_back(&peer.entry);
+        }
+    }
+    peer_exchange_.send_flow_holders(flows, peers, now);
+}
+
 digest_measurements steering_daemon::measurements_for_digest() const {
     const auto& admission = steering_.admission();
     if (!admission.capacity_shares && !admission.zone_balance) {
@@ -567,6 +591,8 @@
                             .copies_sent = peer_exchange_.copies().sent,
                             .copies_refused = peer_exchange_.copies().refused,
                             .copy_bytes_sent = peer_exchange_.copies().bytes,
+                            .flow_holders_sent = peer_exchange_.flow_holders().sent,
+                            .flow_holders_dropped = peer_exchange_.flow_holders().dropped,
                             .is_store_reachable = feed_.is_reachable(),
                             .is_ready = is_ready_},
                            services, routes);
--- a/services/bramleyd/steering_daemon.h
+++ b/services/bramleyd/steering_daemon.h
@@ -61,6 +61,7 @@
     void on_store_change(std::span<const store::event> events, clock::time_point now);
     void on_pull_result(const peer_exchange::pull_result& result, clock::time_point now);
     void exchange_with_peers(clock::time_point now);
+    void report_flows_opened_twice(clock::time_point now);
     void on_initial_state(clock::time_point now);
     // Before the first tick of the feed.
     void prepare_startup();
--- a/tests/steering_flow_holder_test.cpp
+++ b/tests/steering_flow_holder_test.cpp
@@ -155,5 +155,79 @@
     EXPECT_EQ(deliver(packet(1, *second, second_number, 100), late), second);
 }
 
+// Guards against a flow that another instance sends to the slow target: the routers moved it while
+// its caller was idle with the token of that target.
+TEST_F(steering_flow_holder, keeps_a_flow_that_a_peer_has_seen_open) {
+    open_twice(1);
+    deliver(packet(1, *second_, second_number), accepted_at);
+    const auto reports = steering_.take_flows_opened_twice();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_TRUE(steering_.take_flows_opened_twice().empty());
+
+    steering::steering peer{
+        {.zone = "north", .regions = {}}, directory_, cold_gate_, digests_, log_, metrics_};
+    peer.on_holder_reported(reports.front(), late);
+    const steering::directory_state state{.is_complete = true, .confirmed = late};
+    for (const auto* token_of : {first_, second_, first_}) {
+        const auto outcome = peer.on_segment(packet(1, *token_of, second_number, 100), state, late);
+        EXPECT_EQ(std::get<steering::forward>(outcome).to, second_);
+    }
+}
+
+// Guards against a flow that opens at the slow first target and is reported with that of the copy.
+TEST_F(steering_flow_holder, reports_the_first_target_if_the_flow_opens_there) {
+    open_twice(1);
+    deliver(packet(1, *first_, first_number), accepted_at);
+    const auto reports = steering_.take_flows_opened_twice();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports.front().holder, first_->token);
+    EXPECT_EQ(reports.front().acknowledged, first_number);
+}
+
+// Guards against a missing report on a flow whose first opening another instance has placed.
+TEST_F(steering_flow_holder, reports_a_flow_of_which_it_has_seen_only_a_copy) {
+    const auto* target = open(1, 1, start);
+    deliver(packet(1, *target, first_number), start + clock::duration{4});
+    EXPECT_EQ(steering_.take_flows_opened_twice().size(), 1U);
+}
+
+// Guards against reports on all flows, which would cost as many messages as the zone has peers.
+TEST_F(steering_flow_holder, reports_no_flow_that_only_one_target_can_accept) {
+    const auto* target = open(1, 0, start);
+    deliver(packet(1, *target, first_number), start + clock::duration{4});
+    open_twice(2);
+    steering_.on_target_reported_dead(*first_, late + clock::duration{3'000});
+    deliver(packet(2, *second_, second_number), accepted_at);
+    EXPECT_TRUE(steering_.take_flows_opened_twice().empty());
+}
+
+// Guards against a report that moves a new flow of the same port to the target of the earlier one.
+TEST_F(steering_flow_holder, follows_the_token_of_another_flow_than_the_reported_one) {
+    const auto* first = directory_.find_target(discovery::token_of("i-1"));
+    const auto* second = directory_.find_target(discovery::token_of("i-2"));
+    const auto reported = packet(1, *second, second_number);
+    steering_.on_holder_reported({.flow = reported.flow,
+                                  .holder = second->token,
+                                  .acknowledged = reported.acknowledged,
+                                  .next_sequence = reported.sequence},
+                                 start);
+    EXPECT_EQ(deliver(packet(1, *first, first_number, 100), late), first);
+}
+
+// Guards against reports that stay for good, and against a flood of them.
+TEST(reported_holders, are_bounded_in_number_and_in_time) {
+    constexpr clock::duration lifetime{100};
+    steering::reported_holders reports{{.lifetime = lifetime, .max_flows = 2}};
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        reports.add({.flow = {.caller = {.address = 1, .port = port}, .route = {}}, .holder = 7},
+                    start);
+    }
+    EXPECT_EQ(reports.size(), 2U);
+    reports.expire(start + lifetime);
+    EXPECT_EQ(reports.size(), 2U);
+    reports.expire(start + lifetime + clock::duration{1});
+    EXPECT_EQ(reports.size(), 0U);
+}
+
 }  // namespace
 }  // namespace bramleytrack
