Steering: Drop copies of openings whose flow is open

Cause: a copy that packets of its own flow have overtaken was placed like any other. Another target accepted it, and the next packet, with that target's token, was taken for the first one after the opening: the instance moved the open flow to a target that doesn't hold it.

A copy whose opening this instance has seen accepted is now dropped, within the time in which callers send copies.

--- a/libraries/base/result_code.cpp
+++ b/libraries/base/result_code.cpp
@@ -31,7 +31,8 @@
     result_code_description{target_silent, "target_silent",
                             "the flow's target acknowledges nothing, of this flow or of others"},
     result_code_description{opening_too_late, "opening_too_late",
-                            "an opening waited until its caller sent another one; it was dropped"},
+                            "an opening arrived or waited until its caller sent another one, or "
+                            "until its flow was open; it was dropped"},
     result_code_description{unknown_flow, "unknown_flow", "no instance or target knows this flow"},
     result_code_description{no_eligible_target, "no_eligible_target",
                             "no target of the service takes new flows now"},
--- a/libraries/steering/flow_tracker.cpp
+++ b/libraries/steering/flow_tracker.cpp
@@ -47,6 +47,14 @@
     return is_too_early ? std::optional{flow->token} : std::nullopt;
 }
 
+bool flow_tracker::is_copy_of_open_flow(const segment& retransmission,
+                                        clock::time_point now) const {
+    const auto* flow = find(retransmission.flow);
+    return flow != nullptr && flow->is_established && flow->is_holder_known &&
+           flow->opening_sequence == retransmission.sequence &&
+           now - flow->opened_at < limits_.opening_lifetime;
+}
+
 std::optional<routing_token> flow_tracker::record_unanswered_opening(const flow_key& key,
                                                                      clock::time_point now) {
     const auto found = flows_.find(key);
--- a/libraries/steering/flow_tracker.h
+++ b/libraries/steering/flow_tracker.h
@@ -168,6 +168,8 @@
     // that was so recent that both must have been queued in this instance's socket.
     std::optional<routing_token> find_token_of_recent_opening(const segment& retransmission,
                                                               clock::time_point now) const;
+    // Whether the retransmission is of an opening that a target has accepted since.
+    bool is_copy_of_open_flow(const segment& retransmission, clock::time_point now) const;
     // An opening packet was retransmitted. Ejects the target that was chosen for the packet before
     // and returns its token, unless it has accepted the flow, has responded to other flows since,
     // got the packet less than min_retransmission_interval ago, or the flow has no record here.
--- a/libraries/steering/steering.cpp
+++ b/libraries/steering/steering.cpp
@@ -93,6 +93,11 @@
     if (packet.max_socket_wait >= lifetime_of_opening(packet.copy)) {
         return record_outcome(drop{result_code::opening_too_late});
     }
+    // Guards against another target that accepts an open flow: the copy was overtaken by the
+    // packets that its caller has sent since.
+    if (packet.copy > 0 && flows_.is_copy_of_open_flow(packet, now)) {
+        return record_outcome(drop{result_code::opening_too_late});
+    }
     if (!state.is_complete) {
         return record_outcome(drop{result_code::not_ready});
     }
--- a/tests/steering_late_openings_test.cpp
+++ b/tests/steering_late_openings_test.cpp
@@ -117,6 +117,25 @@
     }
 }
 
+TEST_F(late_openings, that_are_copies_of_an_open_flow_are_dropped) {
+    // Guards against a copy that the network delivers after the flow has opened: another target
+    // would accept it, and the instance would take that one for the flow's holder.
+    const auto added = testing::board_target("i-2", "north", slots);
+    directory_.apply(added, 3, false, start);
+    ASSERT_TRUE(is_forwarded(open(1, 0, clock::duration{0}, start)));
+    steering::segment acknowledgement;
+    acknowledgement.flow = {.caller = {.address = 1, .port = 1}, .route = testing::board_route};
+    acknowledgement.token = discovery::token_of("i-1");
+    acknowledgement.acknowledged = 500;
+    const auto opened_at = start + clock::duration{205};
+    steering_.on_segment(acknowledgement, state_at(opened_at), opened_at);
+    const auto later = start + clock::duration{210};
+    EXPECT_TRUE(is_dropped(open(1, 1, clock::duration{0}, later)));
+    EXPECT_TRUE(is_forwarded(open(2, 1, clock::duration{0}, later)));
+    // Another flow of the port, long after.
+    EXPECT_TRUE(is_forwarded(open(1, 1, clock::duration{0}, later + clock::duration{2'000})));
+}
+
 // The outcomes of the openings that have left the queue.
 std::vector<steering::decision> take_outcomes(steering::steering& from) {
     std::vector<steering::decision> result;
