--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -75,10 +75,10 @@
     settings::steering_settings receiver_settings_ = settings_of("peer", 0);
     peer_exchange sender_{loop_, sender_settings_, mirror_, digests_, log_};
     peer_exchange receiver_{loop_, receiver_settings_, mirror_, digests_, log_};
-    const discovery::peer_entry receiver_entry_{.name = "peer",
-                                                .zone = "north",
-                                                .address = receiver_settings_.peer_address,
-                                                .pull_address = {}};
+    discovery::peer_entry receiver_entry_{.name = "peer",
+                                          .zone = "north",
+                                          .address = receiver_settings_.peer_address,
+                                          .pull_address = {}};
     std::vector<const discovery::peer_entry*> receivers_{&receiver_entry_};
     std::vector<steering::held_flow> received_;
 };
